--- a/flintrack/benchlink.py
+++ b/harriertide/benchlink.py
@@ -11,8 +11,8 @@
 
 import orjson
 
-from flintrack import api
-from flintrack.rules import Scheduler
+from harriertide import api
+from harriertide.rules import Scheduler
 
 Fields = dict[str, Any]
 
