--- a/harriertide/benchlink.py
+++ b/harriertide/benchlink.py
@@ -13,10 +13,8 @@
 
 from harriertide import api
 from harriertide.rules import Scheduler
+from harriertide.settings import Fields, from_wire
 
-Fields = dict[str, Any]
-
-_EFFECTS = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
 _KINDS = {
     0: "ok", 5: "error", 11: "full", 110: "timeout", 111: "connect_failed",
     104: "reset", 125: "cancelled", 114: "moot",
@@ -29,58 +27,6 @@
     """A line that the adapter cannot use."""
 
 
-def _settings(raw: Fields) -> api.Settings:
-    limits, safety, domain = raw["limits"], raw["safety"], raw["domain"]
-    return api.Settings(
-        head=raw["index"],
-        heads=raw["groupSize"],
-        classes=tuple(_request_class(entry) for entry in raw["classes"]),
-        plans=tuple(_plan(entry) for entry in raw["plans"]),
-        shards=domain["nShards"],
-        mean_units=domain["meanUnits"],
-        most_units=domain["maxUnits"],
-        share_worth=domain["withinShare"],
-        spare_worth=domain["beyondShare"],
-        cold_units=domain["youngLimit"],
-        cold_from=safety["coldFrom"],
-        cold_us=safety["coldUs"],
-        fall_us=safety["fallUs"],
-        ask_for_list=raw["membershipMode"] == "ask",
-        may_tell=limits["peers"],
-        may_say_when=limits["retryAfter"],
-        max_retry_after_us=limits["maxRetryAfterUs"],
-        max_attempts=limits["tryLimit"],
-        tick_us=raw["roundUs"],
-        key_rest_us=safety.get("keyQuietUs") or 0,
-        extra_floor=safety.get("extraFloor") or 0 if safety.get("resendSpanUs") else None,
-        extra_share=safety.get("resendRatio") or 0,
-        extra_span_us=safety.get("resendSpanUs") or 0,
-    )
-
-
-def _request_class(raw: Fields) -> api.RequestClass:
-    return api.RequestClass(
-        aim_us=raw["sloUs"],
-        deadline_us=raw["deadlineUs"],
-        worth=raw["worth"],
-        late_worth=raw.get("lateWorth") or 0,
-        effect=_EFFECTS[raw["effect"]],  # type: ignore[arg-type]
-        group=raw.get("dedupScope") or "all",
-        window_us=raw.get("windowUs") or 0,
-        in_order=bool(raw.get("inOrder")),
-    )
-
-
-def _plan(raw: Fields) -> api.Plan:
-    return api.Plan(
-        reserve=raw["guaranteed"],
-        weight=raw["weight"],
-        price=raw["valueFactor"],
-        limit=raw["ceilingRate"],
-        limit_burst=raw["mostAtOnce"],
-    )
-
-
 def _entry(raw: Fields) -> api.NodeEntry:
     return api.NodeEntry(
         node=raw["shelf"],
@@ -203,7 +149,7 @@
             batch[raw["who"]] = []
             self._faults.pop(raw["who"], None)
             try:
-                self._instances[raw["who"]] = Scheduler(_settings(raw["settings"]), raw["initSeed"])
+                self._instances[raw["who"]] = Scheduler(from_wire(raw["settings"]), raw["initSeed"])
             except ValueError as fault:
                 traceback.print_exc(file=sys.stderr)
                 self._faults[raw["who"]] = f"ValueError: {fault}"
--- /dev/null
+++ b/harriertide/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: requests, attempts and final answers. It knows no wire."""
--- /dev/null
+++ b/harriertide/core/events.py
@@ -0,0 +1,108 @@
+"""What the core hears (events) and what it asks for (effects). Times are microseconds of one clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal, TypeAlias
+
+from harriertide import api
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """A front has taken a request."""
+
+    arrival: api.Arrival
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An attempt is over; reply is what the front may pass on, unread by the core."""
+
+    request: str
+    attempt: int
+    kind: api.OutcomeKind
+    reply: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client is gone; no answer is owed any more."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """News of the list of nodes."""
+
+    news: api.NodeList
+
+
+@dataclass(frozen=True, slots=True)
+class Fired:
+    """A timer has run out."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Bytes from another broker, by its number."""
+
+    head: int
+    body: bytes
+
+
+Event: TypeAlias = Arrived | Ended | Left | Listed | Fired | Heard
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Send the request to the node; ask may_write at the moment of writing; end by stop_at_us."""
+
+    request: str
+    attempt: int
+    node: str
+    stop_at_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer. reply: of the attempt that served it."""
+
+    request: str
+    kind: Literal["served", "refused", "failed"]
+    reply: object = None
+    retry_after_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Say Fired at this time."""
+
+    at_us: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Bytes for another broker, by its number."""
+
+    head: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OpenWatch:
+    """Watch the list of nodes from what is known on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line for the log."""
+
+    text: str
+
+
+Effect: TypeAlias = StartAttempt | Answer | SetTimer | TellPeer | OpenWatch | Say
--- /dev/null
+++ b/harriertide/core/reducer.py
@@ -0,0 +1,228 @@
+"""All changes of state: events in, effects out. The decisions are the module's (harriertide/rules.py);
+this owns the requests, their attempts and their final answers, and keeps the rules about those even
+where the module or a front errs."""
+
+from __future__ import annotations
+
+import traceback
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harriertide import api
+from harriertide.core import events as ev
+from harriertide.rules import Scheduler
+
+# Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
+# could not be written this soon after it was decided (a slow connection) goes back as never sent.
+COLD_WRITE_US = 40_000
+
+
+@dataclass(slots=True)
+class Taken:
+    """A request from its arrival until it is answered and no attempt of it is out."""
+
+    arrival: api.Arrival
+    made: int = 0
+    out: int = -1  # the attempt that is out; -1: none
+    node: str = ""
+    sent_us: int = 0
+    answered: bool = False
+
+
+class Reducer:
+    """The state of one broker. Single-threaded; step is the only way to change it."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        scheduler: Callable[[api.Settings, int], Scheduler] = Scheduler,
+    ) -> None:
+        self.settings = settings
+        self.counts: Counter[str] = Counter()
+        self._make, self._seed = scheduler, seed
+        self._scheduler = scheduler(settings, seed)
+        self._taken: dict[str, Taken] = {}
+        self._nodes: dict[str, api.NodeEntry] = {}
+        self._effects: list[ev.Effect] = []
+
+    # --- questions, which change nothing -------------------------------------------------------
+
+    def holds(self, request: str) -> bool:
+        """Whether this id is in use."""
+        return request in self._taken
+
+    def owed(self) -> int:
+        """Requests without a final answer."""
+        return sum(not taken.answered for taken in self._taken.values())
+
+    def nodes(self) -> dict[str, api.NodeEntry]:
+        """The nodes as last told, those that drain included."""
+        return dict(self._nodes)
+
+    def may_write(self, request: str, attempt: int, now_us: int) -> api.OutcomeKind | None:
+        """Asked right before the first byte leaves: None, or how the attempt ends unwritten.
+
+        Guards against sends that were decided before a drain was told, or before the client left, and
+        waited for a connection meanwhile.
+        """
+        taken = self._taken.get(request)
+        if taken is None or taken.answered or taken.out != attempt:
+            return "moot"
+        node = self._nodes.get(taken.node)
+        if node is None or node.state != "live":
+            return "full"
+        cold = node.started_us > 0 and now_us < node.started_us + self.settings.cold_us
+        if cold and now_us - taken.sent_us > COLD_WRITE_US:
+            return "connect_failed"
+        return None
+
+    # --- the one way to change state -----------------------------------------------------------
+
+    def step(self, now_us: int, happened: list[ev.Event]) -> list[ev.Effect]:
+        """Take what has happened, in order; return what to do, in order."""
+        self._effects = []
+        told: list[api.Event] = []
+        for event in happened:
+            told += self._take(now_us, event)
+        while told:
+            told = self._decide(now_us, told)
+        return self._effects
+
+    def _take(self, now_us: int, event: ev.Event) -> list[api.Event]:
+        """Book one event; what the module hears of it."""
+        if isinstance(event, ev.Arrived):
+            return self._arrive(event.arrival)
+        if isinstance(event, ev.Ended):
+            return self._end(now_us, event)
+        if isinstance(event, ev.Left):
+            return self._leave(event.request)
+        if isinstance(event, ev.Listed):
+            return self._list(event.news)
+        if isinstance(event, ev.Heard):
+            self.counts["peer_in"] += 1
+            return [api.PeerNote(event.head, event.body)]
+        return [api.Woke(event.token)]
+
+    def _arrive(self, arrival: api.Arrival) -> list[api.Event]:
+        self.counts["taken"] += 1
+        if arrival.request in self._taken:
+            # a front checks holds() first; the first holder of the id keeps its one answer
+            self.counts["same_id"] += 1
+            return []
+        self._taken[arrival.request] = Taken(arrival)
+        return [arrival]
+
+    def _end(self, now_us: int, event: ev.Ended) -> list[api.Event]:
+        taken = self._taken.get(event.request)
+        if taken is None or taken.out != event.attempt:
+            self.counts["stray_outcome"] += 1
+            return []
+        self.counts[f"outcome_{event.kind}"] += 1
+        node, taken.out = taken.node, -1
+        if event.kind == "ok" and not taken.answered:
+            self._answer(taken, ev.Answer(event.request, "served", event.reply))
+        if taken.answered:
+            del self._taken[event.request]
+        took_us = now_us - taken.sent_us
+        return [api.Outcome(event.request, event.attempt, node, event.kind, took_us, taken.answered)]
+
+    def _leave(self, request: str) -> list[api.Event]:
+        taken = self._taken.get(request)
+        if taken is None or taken.answered:
+            return []
+        self.counts["left"] += 1
+        taken.answered = True
+        if taken.out < 0:
+            del self._taken[request]
+        return [api.Departed(request)]
+
+    def _list(self, news: api.NodeList) -> list[api.Event]:
+        self.counts[f"list_{news.kind}"] += 1
+        if news.kind in ("whole", "held"):
+            self._nodes = {}
+        for entry in news.nodes:
+            if entry.state == "gone":
+                self._nodes.pop(entry.node, None)
+            else:
+                self._nodes[entry.node] = entry
+        return [news]
+
+    # --- the module's actions ------------------------------------------------------------------
+
+    def _decide(self, now_us: int, told: list[api.Event]) -> list[api.Event]:
+        """Ask the module and do what it says; what it has to hear at once of that."""
+        back: list[api.Event] = []
+        try:
+            for action in self._scheduler.decide(now_us, told):
+                back += self._do(now_us, action)
+        except Exception:  # a fault of the module must not leave clients without an answer
+            self._start_over(now_us, traceback.format_exc())
+        return back
+
+    def _do(self, now_us: int, action: api.Action) -> list[api.Event]:
+        if isinstance(action, api.Send):
+            return self._send(now_us, action)
+        if isinstance(action, api.Refuse):
+            self._final(ev.Answer(action.request, "refused", None, action.retry_after_us))
+        elif isinstance(action, api.Fail):
+            self._final(ev.Answer(action.request, "failed"))
+        elif isinstance(action, api.Wake):
+            self._effects.append(ev.SetTimer(now_us + action.after_us, action.token))
+        elif isinstance(action, api.Tell):
+            self.counts["peer_out"] += 1
+            self._effects.append(ev.TellPeer(action.head, action.body))
+        elif isinstance(action, api.Subscribe):
+            self.counts["watches"] += 1
+            self._effects.append(ev.OpenWatch())
+        else:
+            self._effects.append(ev.Say(action.text))
+        return []
+
+    def _send(self, now_us: int, action: api.Send) -> list[api.Event]:
+        """Start an attempt; one that would break a rule is turned back as moot, never sent."""
+        taken = self._taken.get(action.request)
+        if taken is None:
+            return []
+        number, node = taken.made, self._nodes.get(action.node)
+        taken.made += 1
+        fit = node is not None and node.state == "live" and number < self.settings.max_attempts
+        if taken.answered or taken.out >= 0 or not fit:
+            self.counts["turned_back"] += 1
+            return [api.Outcome(action.request, number, action.node, "moot", 0, taken.answered)]
+        taken.out, taken.node, taken.sent_us = number, action.node, now_us
+        stop_us = min(action.stop_at_us or taken.arrival.give_up_us, taken.arrival.give_up_us)
+        self.counts["attempts"] += 1
+        self._effects.append(ev.StartAttempt(action.request, number, action.node, stop_us))
+        return []
+
+    def _final(self, answer: ev.Answer) -> None:
+        taken = self._taken.get(answer.request)
+        if taken is not None and not taken.answered:
+            self._answer(taken, answer)
+            if taken.out < 0:
+                del self._taken[answer.request]
+
+    def _answer(self, taken: Taken, answer: ev.Answer) -> None:
+        taken.answered = True
+        self.counts[answer.kind] += 1
+        self._effects.append(answer)
+
+    def _start_over(self, now_us: int, trace: str) -> None:
+        """The module broke: log it, answer all it held, start a fresh one on the list as known."""
+        self.counts["module_faults"] += 1
+        self._effects.append(ev.Say("the decision module failed; open requests are answered:\n" + trace))
+        for taken in list(self._taken.values()):
+            effect = self.settings.classes[taken.arrival.request_class].effect
+            kind = "refused" if effect == "safe" or not taken.made else "failed"
+            wait_us = self.settings.max_retry_after_us if kind == "refused" else 0
+            self._final(ev.Answer(taken.arrival.request, kind, None, wait_us))  # type: ignore[arg-type]
+        self._seed += 1
+        self._scheduler = self._make(self.settings, self._seed)
+        held = api.NodeList("held", tuple(self._nodes.values()))
+        try:
+            for action in self._scheduler.decide(now_us, [held]):
+                self._do(now_us, action)
+        except Exception:
+            self._effects.append(ev.Say("the fresh decision module failed too"))
--- /dev/null
+++ b/harriertide/net/clock.py
@@ -0,0 +1,23 @@
+"""One clock: the system's Unix time read once, then the event loop's monotonic time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+
+class Clock:
+    """Unix microseconds that never step back, and the loop's time for the same moment."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._mono = loop.time()
+        self._unix_us = time.time_ns() // 1000
+
+    def now_us(self) -> int:
+        """Now, in Unix microseconds as of the start of the process."""
+        return self._unix_us + int((self._loop.time() - self._mono) * 1_000_000)
+
+    def loop_time(self, at_us: int) -> float:
+        """The same moment on the event loop's clock, for timeout_at and call_at."""
+        return self._mono + (at_us - self._unix_us) / 1_000_000
--- /dev/null
+++ b/harriertide/net/runtime.py
@@ -0,0 +1,114 @@
+"""Between the reducer and the sockets: collects the events of a loop turn, performs the effects."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from harriertide import api
+from harriertide.core import events as ev
+from harriertide.core.reducer import Reducer
+from harriertide.log import log
+from harriertide.net.clock import Clock
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt as its performer sees it: where to, until when, and the last look before writing."""
+
+    runtime: Runtime
+    request: str
+    number: int
+    node: str
+    stop_at_us: int
+
+    def may_write(self) -> api.OutcomeKind | None:
+        """None: write now. Else the attempt ends so, with nothing written."""
+        runtime = self.runtime
+        return runtime.core.may_write(self.request, self.number, runtime.clock.now_us())
+
+
+Ending = tuple[api.OutcomeKind, object]
+
+
+class Job(Protocol):
+    """A taken request, as its front carries it."""
+
+    async def attempt(self, attempt: Attempt) -> Ending:
+        """Perform one attempt; how it ended, and what to pass on."""
+
+    def answer(self, answer: ev.Answer) -> None:
+        """The final answer."""
+
+
+class Runtime:
+    """Owns the loop's side of the core; all fronts share one."""
+
+    def __init__(self, core: Reducer, clock: Clock) -> None:
+        self.core, self.clock = core, clock
+        self.tell: Callable[[int, bytes], None] = lambda head, body: None
+        self.watch: Callable[[], None] = lambda: None
+        self._loop = asyncio.get_running_loop()
+        self._jobs: dict[str, Job] = {}
+        self._events: list[ev.Event] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def submit(self, arrival: api.Arrival, job: Job) -> bool:
+        """Take a request into the core; False if its id is in use."""
+        if arrival.request in self._jobs or self.core.holds(arrival.request):
+            return False
+        self._jobs[arrival.request] = job
+        self.post(ev.Arrived(arrival))
+        return True
+
+    def left(self, request: str) -> None:
+        """The client of a request is gone."""
+        self.post(ev.Left(request))
+
+    def post(self, event: ev.Event) -> None:
+        """Tell the core at the end of this turn of the loop, with all else that happens in it."""
+        if not self._events:
+            self._loop.call_soon(self._flush)
+        self._events.append(event)
+
+    def _flush(self) -> None:
+        events, self._events = self._events, []
+        for effect in self.core.step(self.clock.now_us(), events):
+            self._perform(effect)
+        for event in events:
+            if isinstance(event, (ev.Ended, ev.Left)) and not self.core.holds(event.request):
+                self._jobs.pop(event.request, None)
+
+    def _perform(self, effect: ev.Effect) -> None:
+        if isinstance(effect, ev.StartAttempt):
+            attempt = Attempt(self, effect.request, effect.attempt, effect.node, effect.stop_at_us)
+            task = self._loop.create_task(self._run(self._jobs[effect.request], attempt))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif isinstance(effect, ev.Answer):
+            job = self._jobs[effect.request]
+            if not self.core.holds(effect.request):
+                del self._jobs[effect.request]
+            job.answer(effect)
+        elif isinstance(effect, ev.SetTimer):
+            self._loop.call_at(self.clock.loop_time(effect.at_us), self.post, ev.Fired(effect.token))
+        elif isinstance(effect, ev.TellPeer):
+            self.tell(effect.head, effect.body)
+        elif isinstance(effect, ev.OpenWatch):
+            self.watch()
+        else:
+            log(effect.text)
+
+    async def _run(self, job: Job, attempt: Attempt) -> None:
+        """Exactly one Ended for each attempt, whatever the performer does."""
+        kind: api.OutcomeKind = "reset"
+        reply: object = None
+        try:
+            kind, reply = await job.attempt(attempt)
+        except Exception:  # guards against a fault in a performer leaving its request without an answer
+            log("an attempt failed in the broker itself:\n" + traceback.format_exc())
+        finally:
+            self.post(ev.Ended(attempt.request, attempt.number, kind, reply))
