--- a/harriertide/api.py
+++ b/harriertide/api.py
@@ -184,7 +184,14 @@
     body: bytes
 
 
-Event: TypeAlias = NodeList | Arrival | AnswerBegan | Outcome | Departed | Woke | PeerNote
+@dataclass(frozen=True, slots=True)
+class Resettled:
+    """New settings for a head that runs: figures of plans and classes, shards, limits."""
+
+    settings: Settings
+
+
+Event: TypeAlias = NodeList | Arrival | AnswerBegan | Outcome | Departed | Woke | PeerNote | Resettled
 
 
 # --- actions --------------------------------------------------------------------------------
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -54,7 +54,14 @@
     body: bytes
 
 
-Event: TypeAlias = Arrived | Ended | Left | Listed | Fired | Heard
+@dataclass(frozen=True, slots=True)
+class Resettled:
+    """The operator has changed the settings."""
+
+    settings: api.Settings
+
+
+Event: TypeAlias = Arrived | Ended | Left | Listed | Fired | Heard | Resettled
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -103,6 +103,9 @@
         if isinstance(event, ev.Heard):
             self.counts["peer_in"] += 1
             return [api.PeerNote(event.head, event.body)]
+        if isinstance(event, ev.Resettled):
+            self.settings = event.settings
+            return [api.Resettled(event.settings)]
         return [api.Woke(event.token)]
 
     def _arrive(self, arrival: api.Arrival) -> list[api.Event]:
--- a/harriertide/rules.py
+++ b/harriertide/rules.py
@@ -79,15 +79,20 @@
         self._later: list[tuple[int, int, Request | Cell | str | None]] = []
         self._now = self._count = self._wake_us = self._round_us = self._round_end = 0
         self._ask_wait = ASK_FIRST_US
-        self._aim = min(kind.aim_us for kind in settings.classes)
         self._usual = [0.0] * len(settings.classes)
-        self._top = max(k.worth * p.price for k in settings.classes for p in settings.plans) or 1.0
+        self._settle(settings)
         self._taken: deque[int] = deque()
         self._extra: deque[int] = deque()
         self._mute = False  # no sums heard, and said so
         self._heard_us = self._unheard = 0
         self._alone = settings.heads == 1 or not settings.may_tell
 
+    def _settle(self, settings: api.Settings) -> None:
+        """Take new figures; the classes stay as many as they were."""
+        self._s = settings
+        self._aim = min(kind.aim_us for kind in settings.classes)
+        self._top = max(k.worth * p.price for k in settings.classes for p in settings.plans) or 1.0
+
     def decide(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has happened by now; return what to do, in order."""
         self._now = max(now_us, self._now)
@@ -111,6 +116,8 @@
                 self._requests[event.request].begun = True
             elif isinstance(event, api.Departed) and event.request in self._requests:
                 self._close(self._requests[event.request])
+            elif isinstance(event, api.Resettled):
+                self._settle(event.settings)
         if self._now >= self._round_end:
             self._close_round()
         self._run_later()
