--- a/harriertide/__main__.py
+++ b/harriertide/__main__.py
@@ -1,15 +1,24 @@
 """harriertide: a broker in front of storage nodes.
 
 Usage:
-  harriertide [serve]
+  harriertide [serve] [--objects FILE]
   harriertide version
+  harriertide plan FILE -o PLAN
+  harriertide apply PLAN
   harriertide counters PID
   harriertide -h | --help
 
 Commands:
-  serve     Serve as LB_CONFIG says; the default.
+  serve     Serve as LB_CONFIG says, and the object front as FILE says; the default.
   version   Print the version.
-  counters  Ask a running broker to write its counters to its log.
+  plan      Print how FILE differs from the running daemon, and write that to PLAN; changes nothing.
+  apply     Do just what PLAN says; refused if the daemon's state has moved since.
+  counters  Ask a running daemon to write its counters to its log.
+
+Options:
+  --objects FILE  The operator's file of the object front.
+  -o PLAN         Where to write the plan.
+  -h --help       Show this.
 """
 
 from __future__ import annotations
@@ -40,9 +49,14 @@
             print(f"harriertide: PID {given['PID']}: {fault}", file=sys.stderr)
             return 2
         return 0
+    # plan and apply need not load the daemon, nor the daemon them
+    if given["plan"] or given["apply"]:
+        from harriertide.config import commands
+
+        return commands.plan(given["FILE"], given["-o"]) if given["plan"] else commands.apply(given["PLAN"])
     from harriertide.net.process import run
 
-    return run(os.environ)
+    return run(os.environ, given["--objects"])
 
 
 if __name__ == "__main__":
--- a/harriertide/config/diff.py
+++ b/harriertide/config/diff.py
@@ -34,5 +34,6 @@
             said.append(f"- {name}")
         else:
             was, now = before[name], after[name]
-            said += [f"~ {name}.{key}: {was.get(key)} -> {now[key]}" for key in now if was.get(key) != now[key]]
+            changed = [key for key in now if was.get(key) != now[key]]
+            said += [f"~ {name}.{key}: {was.get(key)} -> {now[key]}" for key in changed]
     return said
--- a/harriertide/log.py
+++ b/harriertide/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 
@@ -28,3 +29,15 @@
 
 
 log = Log()
+
+
+class _Handler(logging.Handler):
+    """What libraries log goes the same way and under the same bound."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        log(f"{record.name}: {self.format(record)}")
+
+
+def adopt_libraries() -> None:
+    """Send warnings and errors of libraries to the log."""
+    logging.basicConfig(level=logging.WARNING, handlers=[_Handler()], force=True)
--- a/harriertide/net/front.py
+++ b/harriertide/net/front.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from math import isfinite
 
 from aiohttp import web
@@ -172,17 +172,17 @@
         return plain(502, "failed")
 
 
-def server(front: Front) -> web.Server:
-    """aiohttp's low-level server around a front."""
+def server(
+    handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], body_bytes: int = BODY_BYTES
+) -> web.Server:
+    """aiohttp's low-level server around a handler; a request whose client leaves is cancelled."""
     loop = asyncio.get_running_loop()
 
     def make(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=BODY_BYTES
-        )
+        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=body_bytes)
 
     return web.Server(
-        front.handle,
+        handle,
         request_factory=make,
         handler_cancellation=True,
         access_log=None,
--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -19,7 +19,7 @@
 from harriertide import api
 from harriertide.net.runtime import Attempt
 
-REPLY_BYTES = 64 * 1024  # the most that a body holds on the platform
+Body = bytes | AsyncIterator[bytes]
 KEEP_PART = 0.5  # of the node's idle time: a request that crosses its close would end as a reset
 HELD_MOST = 450  # connections to all nodes, well within 1,024 descriptors beside those of clients
 
@@ -119,9 +119,18 @@
 
     @asynccontextmanager
     async def open(
-        self, attempt: Attempt, method: str, target: str, headers: Mapping[str, str], body: bytes
+        self,
+        attempt: Attempt,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: Body = b"",
+        size: int = 0,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Send the request; the answer as it comes. Raises BrokenError as PROTOCOL's table has it."""
+        """Send the request; the answer as it comes. size: of a body that is streamed.
+
+        Raises BrokenError as PROTOCOL's table has it.
+        """
         address = self._find(attempt.node)
         if address is None:
             raise BrokenError("full")
@@ -132,7 +141,6 @@
         course = _Course(attempt, limit, stop_at)
         token = _COURSE.set(course)
         response: aiohttp.ClientResponse | None = None
-        done = False
         try:
             async with limit:
                 response = await self._session.request(
@@ -142,10 +150,9 @@
                     headers=headers,
                     data=body or None,
                     allow_redirects=False,
-                    trace_request_ctx=len(body),
+                    trace_request_ctx=len(body) if isinstance(body, bytes) else size,
                 )
                 yield response
-                done = True
         except TimeoutError:
             past = asyncio.get_running_loop().time() >= stop_at
             raise BrokenError("timeout" if past or course.written else "connect_failed") from None
@@ -157,8 +164,8 @@
             raise BrokenError("reset" if course.written else "connect_failed") from None
         finally:
             _COURSE.reset(token)
-            if response is not None and not done:
-                response.close()  # an attempt that is given up ends its connection
+            if response is not None:
+                response.close()  # read to its end, the connection is kept; else the attempt ends with it
 
     async def exchange(
         self, attempt: Attempt, method: str, target: str, headers: Mapping[str, str], body: bytes
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -5,25 +5,31 @@
 import asyncio
 import gc
 import signal
+import sqlite3
 import sys
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import orjson
+from aiohttp import web
 
 from harriertide import api
+from harriertide.config import model
+from harriertide.config.model import Operator
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
 from harriertide.counts import line
-from harriertide.log import log
+from harriertide.log import adopt_libraries, log
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory, Watch
 from harriertide.net.front import Front, server
 from harriertide.net.nodes import NodeClient
 from harriertide.net.peers import Peers, address
 from harriertide.net.runtime import Runtime
+from harriertide.objects.service import ObjectService
 from harriertide.settings import Names, from_wire, names_from_wire
 
 BACKLOG = 512
@@ -48,6 +54,10 @@
     peer_listen: tuple[str, int] | None
     peers: list[str]
     known: dict[str, Any]
+    writes: tuple[bool, ...] = ()
+
+
+_LOCAL = Names({}, {}, {}, connect_us=250_000, idle_us=15_000_000)  # without a platform
 
 
 def read_config(environment: Mapping[str, str]) -> Config:
@@ -73,6 +83,7 @@
             peer_listen=address(listens) if listens else None,
             peers=[str(peer) for peer in raw.get("peers") or []],
             known=raw.get("known") or {"seq": 0, "whole": True, "hosts": []},
+            writes=tuple(bool(write) for write in raw["settings"]["domain"].get("writes") or ()),
         )
     except KeyError as gap:
         raise BadConfigError(f"LB_CONFIG: {gap.args[0]} is missing or unknown") from None
@@ -81,53 +92,113 @@
 
 
 class Daemon:
-    """One broker in service."""
+    """One process in service: the platform's front, the object front, or both on one core."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config | None, operator: Operator | None) -> None:
         loop = asyncio.get_running_loop()
-        self.core = Reducer(config.settings, config.seed)
-        self.runtime = Runtime(self.core, Clock(loop))
-        self.directory = Directory(config.names.zones)
-        self.client = NodeClient(self.directory.find, config.names.connect_us, config.names.idle_us)
-        self.watch = Watch(config.discovery, self.directory, self.runtime.post)
-        self.peers = Peers(config.peers, config.settings.head, self.runtime.post)
-        self.front = Front(self.runtime, self.client, config.names)
         self.stopping = asyncio.Event()
-        self.runtime.watch, self.runtime.tell = self.watch.open, self.peers.tell
+        self.config = config
+        if config is not None:
+            settings, names, seed = config.settings, config.names, config.seed
+            known = config.known
+        elif operator is not None:
+            settings, names = model.settings(operator.state, list(operator.state["grades"])), _LOCAL
+            seed, known = time.time_ns(), {"seq": 0, "whole": True, "hosts": []}
+        else:
+            raise BadConfigError("nothing to serve")
+        self.core = Reducer(settings, seed)
+        self.runtime = Runtime(self.core, Clock(loop))
+        self.directory = Directory(names.zones)
+        self.client = NodeClient(self._find, names.connect_us, names.idle_us)
+        self.front = Front(self.runtime, self.client, names)
+        self.watch: Watch | None = None
+        self.peers: Peers | None = None
+        self.objects: ObjectService | None = None
+        if config is not None:
+            self.watch = Watch(config.discovery, self.directory, self.runtime.post)
+            self.peers = Peers(config.peers, config.settings.head, self.runtime.post)
+            self.runtime.watch, self.runtime.tell = self.watch.open, self.peers.tell
+            self.runtime.post(ev.Listed(self.directory.read(known, "held")))
+        if operator is not None:
+            platform = names.plans if config is not None else None
+            writes = config.writes if config is not None else ()
+            self.objects = ObjectService(operator, self.runtime, self.client, platform, writes)
+
+    def _find(self, node: str) -> str | None:
+        """Where a box is dialled: as discovery says, or the operator."""
+        own = self.objects.find(node) if self.objects is not None else None
+        return own or self.directory.find(node)
 
     def counters(self) -> str:
         """All counts as one line."""
         parts = {"core": self.core.counts, "front": self.front.counts}
-        return line({**parts, "watch": self.watch.counts, "peers": self.peers.counts})
+        if self.watch is not None and self.peers is not None:
+            parts |= {"watch": self.watch.counts, "peers": self.peers.counts}
+        if self.objects is not None:
+            parts |= self.objects.counts()
+        return line(parts)
+
+    async def start(self) -> None:
+        """Bring the sockets up."""
+        loop = asyncio.get_running_loop()
+        config = self.config
+        self.servers: list[tuple[asyncio.Server, web.Server]] = []
+        if config is not None:
+            if config.peer_listen is not None and self.peers is not None:
+                peers = self.peers
+                await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+            await self._listen(config.listen, server(self.front.handle))
+        if self.objects is not None:
+            for at, web_server in self.objects.servers():
+                await self._listen(address(at), web_server)
+            self.objects.start()
+
+    async def _listen(self, at: tuple[str, int], web_server: web.Server) -> None:
+        loop = asyncio.get_running_loop()
+        self.servers.append((await loop.create_server(web_server, *at, backlog=BACKLOG), web_server))
+        log(f"serves on {at[0]}:{at[1]}")
+
+    def port(self, place: int) -> int:
+        """The port of a listener, where the system chose it."""
+        return int(self.servers[place][0].sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """Not ready; take what still comes for a short while; finish what is taken; close."""
+        loop = asyncio.get_running_loop()
+        self.front.ready = False
+        if self.objects is not None:
+            self.objects.front.ready = False
+        finish_by = loop.time() + FINISH_S
+        await _until(loop, loop.time() + ACCEPT_S)
+        for listener, _ in self.servers:
+            listener.close()
+        while self._busy() and loop.time() < finish_by:
+            await _until(loop, loop.time() + 0.02)
+        await _until(loop, loop.time() + 0.02)  # answers on their way out
+        for _, web_server in self.servers:
+            web_server.pre_shutdown()
+        if self.watch is not None:
+            await self.watch.close()
+        if self.peers is not None:
+            self.peers.close()
+        if self.objects is not None:
+            await self.objects.close()
+        await self.client.close()
+
+    def _busy(self) -> bool:
+        return self.core.owed() > 0 or (self.objects is not None and self.objects.front.open > 0)
 
     async def serve(self) -> None:
         """Serve until told to stop, then finish what is taken."""
         loop = asyncio.get_running_loop()
-        config = self.config
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, lambda: log(self.counters()))
-        if config.peer_listen is not None:
-            await loop.create_datagram_endpoint(lambda: self.peers, local_addr=config.peer_listen)
-        self.runtime.post(ev.Listed(self.directory.read(config.known, "held")))
-        web_server = server(self.front)
-        listener = await loop.create_server(web_server, *config.listen, backlog=BACKLOG)
+        await self.start()
         gc.collect()
         gc.freeze()  # what stands at the start need not be looked through again and again
-        log(f"{config.name} serves on {config.listen[0]}:{config.listen[1]}")
         await self.stopping.wait()
-        self.front.ready = False
-        finish_by = loop.time() + FINISH_S
-        await _until(loop, loop.time() + ACCEPT_S)
-        listener.close()
-        while self.core.owed() and loop.time() < finish_by:
-            await _until(loop, loop.time() + 0.02)
-        await _until(loop, loop.time() + 0.02)  # answers on their way out
-        web_server.pre_shutdown()
-        await self.watch.close()
-        self.peers.close()
-        await self.client.close()
+        await self.stop()
         print(self.counters(), file=sys.stderr, flush=True)
 
 
@@ -138,20 +209,18 @@
     await come
 
 
-def run(environment: Mapping[str, str]) -> int:
-    """Serve as the environment says; 2 with one plain line where it cannot be used."""
-    try:
-        config = read_config(environment)
-    except BadConfigError as fault:
-        print(f"harriertide: {fault}", file=sys.stderr)
-        return 2
+def run(environment: Mapping[str, str], objects: str | None = None) -> int:
+    """Serve as the environment and the operator's file say; 2 with one plain line where it can't be."""
+    adopt_libraries()
 
     async def main() -> None:
-        await Daemon(config).serve()
+        await Daemon(config, operator).serve()
 
     try:
+        operator = model.load(objects) if objects else None
+        config = read_config(environment) if environment.get("LB_CONFIG") or operator is None else None
         asyncio.run(main())
-    except OSError as fault:
+    except (BadConfigError, model.OperatorFileError, OSError, sqlite3.Error) as fault:
         print(f"harriertide: {fault}", file=sys.stderr)
         return 2
     return 0
--- /dev/null
+++ b/harriertide/objects/jobs.py
@@ -0,0 +1,220 @@
+"""What the object front asks of boxes: a blob written, a stretch of one read, one deleted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from hashlib import md5
+from typing import Protocol
+
+import aiohttp
+
+from harriertide import api
+from harriertide.core import events as ev
+from harriertide.net.nodes import Body, BrokenError, NodeClient, outcome
+from harriertide.net.runtime import Attempt, Ending
+
+CHUNK_BYTES = 64 * 1024
+
+
+class BodyError(Exception):
+    """The client's body did not come whole."""
+
+
+class Source(Protocol):
+    """A body on its way to a box."""
+
+    size: int
+
+    @property
+    def md5(self) -> str:
+        """Of the whole body, once it has passed."""
+
+    def ready(self) -> bool:
+        """Whether it can be sent (once more)."""
+
+    def body(self) -> Body:
+        """To send it."""
+
+    @property
+    def broken(self) -> bool:
+        """The client did not bring it whole."""
+
+
+class Held:
+    """A body in memory, which can be sent as often as needed."""
+
+    broken = False
+
+    def __init__(self, data: bytes) -> None:
+        self._data, self.size = data, len(data)
+        self.md5 = md5(data, usedforsecurity=False).hexdigest()
+
+    def ready(self) -> bool:
+        return True
+
+    def body(self) -> Body:
+        return self._data
+
+
+class Streamed:
+    """A body that passes through once, too large to be held: what is gone can't be sent again."""
+
+    def __init__(self, content: aiohttp.StreamReader, size: int) -> None:
+        self._content, self.size = content, size
+        self._begun = self.broken = False
+        self._digest = md5(usedforsecurity=False)
+
+    @property
+    def md5(self) -> str:
+        return self._digest.hexdigest()
+
+    def ready(self) -> bool:
+        return not self._begun
+
+    def body(self) -> AsyncIterator[bytes]:
+        return self._pass()
+
+    async def _pass(self) -> AsyncIterator[bytes]:
+        self._begun = True
+        passed = 0
+        try:
+            while chunk := await self._content.read(CHUNK_BYTES):
+                passed += len(chunk)
+                self._digest.update(chunk)
+                yield chunk
+        except Exception:
+            self.broken = True
+            raise BodyError("the client left") from None
+        if passed != self.size:
+            self.broken = True
+            raise BodyError("the client's body ended early")
+
+
+class ObjectJob:
+    """What all of them share: the box protocol's headers and the final answer."""
+
+    def __init__(self, client: NodeClient, call: str, bucket: str, blob: str) -> None:
+        self._client, self._call = client, call
+        self._target = f"/{bucket}/{blob}"
+        self.final: asyncio.Future[ev.Answer] = asyncio.get_running_loop().create_future()
+
+    def answer(self, answer: ev.Answer) -> None:
+        """Hand the final answer to who waits for it."""
+        if not self.final.done():
+            self.final.set_result(answer)
+
+    async def attempt(self, attempt: Attempt) -> Ending:
+        """Perform one attempt; how it ended."""
+        raise NotImplementedError
+
+    def headers(self, attempt: Attempt) -> dict[str, str]:
+        """How long the broker waits, and the call's id, as towards disk nodes."""
+        wait_ms = max(1, (attempt.stop_at_us - attempt.runtime.clock.now_us()) // 1000)
+        return {"X-Call-Id": self._call, "X-Budget-Ms": str(wait_ms)}
+
+
+class WriteBlob(ObjectJob):
+    """Writes a blob to whichever box the core chooses."""
+
+    def __init__(
+        self,
+        client: NodeClient,
+        call: str,
+        bucket: str,
+        blob: str,
+        source: Source,
+        begun: Callable[[str], None],
+    ) -> None:
+        super().__init__(client, call, bucket, blob)
+        self._source, self._begun = source, begun
+        self.box, self.tag = "", ""
+
+    async def attempt(self, attempt: Attempt) -> Ending:
+        source = self._source
+        if not source.ready():
+            return "moot", None  # refused: only the client still has the body
+        self._begun(attempt.node)
+        headers = {**self.headers(attempt), "Content-Length": str(source.size)}
+        try:
+            async with self._client.open(
+                attempt, "PUT", self._target, headers, source.body(), source.size
+            ) as response:
+                await response.read()
+                kind = outcome(response)
+                if kind == "ok":
+                    self.box, self.tag = attempt.node, response.headers.get("ETag", "")
+                return kind, None
+        except BrokenError as end:
+            # a client that brings no body says nothing of the box's health
+            return ("cancelled" if source.broken else end.kind), None
+
+
+class ReadBlob(ObjectJob):
+    """Reads a stretch of a blob into a sink; a further attempt goes on where the last one broke."""
+
+    def __init__(
+        self,
+        client: NodeClient,
+        call: str,
+        bucket: str,
+        blob: str,
+        tag: str,
+        first: int,
+        last: int,
+        sink: Callable[[bytes], Awaitable[None]],
+    ) -> None:
+        super().__init__(client, call, bucket, blob)
+        self._tag, self._next, self._last, self._sink = tag, first, last, sink
+        self.missing = False
+
+    async def attempt(self, attempt: Attempt) -> Ending:
+        headers = {**self.headers(attempt), "Range": f"bytes={self._next}-{self._last}"}
+        if self._tag:
+            headers["If-Match"] = self._tag
+        writing = False
+        try:
+            async with self._client.open(attempt, "GET", self._target, headers) as response:
+                if response.status in (404, 412, 416):
+                    self.missing = True  # asking again would not bring it back
+                    return "moot", None
+                kind = outcome(response)
+                if kind != "ok":
+                    await response.read()
+                    return kind, None
+                if not self._fits(response):
+                    return "error", None
+                async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+                    kept = chunk[: self._last + 1 - self._next]
+                    # booked before it is written: guards against the same bytes twice after a break
+                    self._next += len(kept)
+                    writing = True
+                    try:
+                        await self._sink(kept)
+                    except (ConnectionError, asyncio.InvalidStateError):
+                        return "cancelled", None  # the client is gone
+                    writing = False
+                return ("ok" if self._next > self._last else "reset"), None
+        except BrokenError as end:
+            # stopped while the client took its time: nothing against the box
+            slow_client = writing and end.kind == "timeout"
+            return ("cancelled" if slow_client else end.kind), None
+
+    def _fits(self, response: aiohttp.ClientResponse) -> bool:
+        """The box answers just the stretch that was asked for."""
+        if response.status == 206:
+            return response.headers.get("Content-Range", "").startswith(f"bytes {self._next}-{self._last}/")
+        return self._next == 0 and response.content_length == self._last + 1
+
+
+class DeleteBlob(ObjectJob):
+    """Deletes a blob; one that is not there is deleted."""
+
+    async def attempt(self, attempt: Attempt) -> Ending:
+        try:
+            async with self._client.open(attempt, "DELETE", self._target, self.headers(attempt)) as response:
+                await response.read()
+                kind: api.OutcomeKind = "ok" if response.status == 404 else outcome(response)
+                return kind, None
+        except BrokenError as end:
+            return end.kind, None
