--- a/harriertide/objects/front.py
+++ b/harriertide/objects/front.py
@@ -17,6 +17,7 @@
 from harriertide.objects.store import Store
 
 KEY_BYTES = 1024
+REST_BYTES, REST_S = 64 * 1024, 0.5  # of a body that an early answer left unread
 _QUERY = frozenset({"uploads", "uploadId", "partNumber", "max-parts", "part-number-marker", "x-id"})
 
 
@@ -72,10 +73,24 @@
         if not response.prepared:
             response.headers["x-amz-request-id"] = call_id
             # guards against the rest of an unread body being taken for the next request
-            if not self.ready or (request.body_exists and not request.content.at_eof()):
+            if not self.ready or not await self._read_out(request):
                 response.force_close()
         return response
 
+    async def _read_out(self, request: web.BaseRequest) -> bool:
+        """Whether nothing of the body is left; a small one is read to its end, to keep the connection."""
+        if not request.body_exists or request.content.at_eof():
+            return True
+        size = request.content_length
+        if size is None or size > REST_BYTES or "Expect" in request.headers:
+            return False
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + REST_S):
+                await request.content.read()
+        except TimeoutError:
+            return False
+        return True
+
     async def _answer(self, request: web.BaseRequest, call_id: str) -> web.StreamResponse:
         try:
             call = read_call(request, call_id)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,488 @@
+"""Scenarios on real sockets: the platform's front and the object front against stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from harriertide.config import model
+from harriertide.net.peers import address
+from harriertide.net.process import Config, Daemon
+from harriertide.settings import from_wire, names_from_wire
+from tests.scenario import Stand, World
+from tests.test_wire import SETTINGS
+
+WIRE: dict[str, Any] = {
+    **SETTINGS,
+    "zones": ["a"],
+    "classes": [{**SETTINGS["classes"][0], "name": "page-read", "sloUs": 1_200_000}],
+    "plans": [{**SETTINGS["plans"][0], "name": "gold"}],
+}
+OPERATOR: dict[str, Any] = {
+    "listen": "127.0.0.1:0",
+    "admin": "127.0.0.1:0",
+    "grades": {"gold": {"reserve": 5}},
+    "volumes": {"v": {"grade": "gold"}},
+    "limits": {
+        "part_least_kb": 0,
+        "unit_kb": 1,
+        "repeat_kb": 2,
+        "repeat_total_kb": 4,
+        "body_kb": 512,
+        "read_aim_ms": 800,
+        "write_aim_ms": 800,
+    },
+}
+
+OK = "b1 send 200 body=data"
+WATCH = """s expect GET /registry/instances?watch=1&after=7
+        s send 200 Transfer-Encoding=chunked
+        s send raw ''
+"""
+PLATFORM = {
+    "a request passes unchanged and its answer too": """
+        c send PUT /api?key=00000000000000AB&x=%41%2f @0 body=ab
+        b1 expect PUT /api?key=00000000000000AB&x=%41%2f X-Call-Id=id1 X-Budget-Ms=* body=ab
+        b1 send 200 body=data
+        c expect 200 body=data""",
+    "a kept connection serves again": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200""",
+    "an error is tried again, one attempt at a time": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        b1 expect nothing
+        b1 send 500
+        b1 expect GET /api
+        {OK}
+        c expect 200""",
+    "a kept connection that breaks is not repeated by the client library behind the core's back": f"""
+        c send PUT /api @0
+        b1 expect PUT /api
+        {OK}
+        c expect 200
+        c send PUT /api @0
+        b1 expect PUT /api
+        b1 close
+        b1 expect PUT /api
+        b1 close
+        b1 expect PUT /api
+        b1 close
+        c expect 503 Retry-After=0.*""",
+    "a turned-away request is tried again, at most as often as the settings allow": """
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 503 X-Rejected=1
+        b1 expect GET /api
+        b1 send 504 X-Rejected=1
+        b1 expect GET /api
+        b1 send 500
+        c expect 503 Retry-After=0.*""",
+    "a box that refuses connections is told to the client as a refusal": """
+        b1 close listen
+        c send GET /api @0
+        c expect 503 Retry-After=0.*""",
+    "an answer cut in its body is tried again": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 200 Content-Length=9 body=da
+        b1 close
+        b1 expect GET /api
+        {OK}
+        c expect 200 body=data""",
+    "an answer is never decompressed, redirects are not followed": """
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 200 Content-Encoding=gzip body=nogzip
+        c expect 200 body=nogzip
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 302 Location=/x
+        b1 expect GET /api
+        b1 send 200
+        c expect 200""",
+    "the deadline counts from the request: a silent box costs no more": """
+        c send GET /api @0 X-Budget-Ms=200
+        b1 expect GET /api X-Budget-Ms=1*
+        c expect 503""",
+    "a client that leaves gets nothing, and the attempt's outcome is taken": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        c close
+        wait 0.05
+        {OK}
+        wait 0.05
+        c2 send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c2 expect 200""",
+    "malformed requests are answered at once, by their reason": """
+        c send GET /api
+        c expect 400 body=X-Call-Id*
+        c send GET /api @0 X-Call-Class=odd
+        c expect 400 body=X-Call-Class*
+        c send GET /api @0 X-Storage-Class=odd
+        c expect 400 body=X-Storage-Class*
+        c send GET /api @0 X-Budget-Ms=1.5
+        c expect 400 body=X-Budget-Ms*
+        c send GET /api @-2
+        c expect 400 body=*shard*
+        c send GET /api @0 X-Extent=volume=zz,units=1,shard=0,hosts=1
+        c expect 400 body=*volume*
+        c send GET /api @0 X-Extent=volume=00000000000000aa,units=nan,shard=0,hosts=1
+        c expect 400 body=*units*
+        c send POST /api @0
+        c expect 400 body=*method*
+        c send GET /other @0
+        c expect 404
+        c send GET /health/ready
+        c expect 200""",
+    "what is not HTTP is answered too": """
+        c send odd stuff\x01
+        c expect 400""",
+    "an oversize body is refused": """
+        c send PUT /api @0 body=65537*x
+        c expect 413""",
+    "an id in use is refused": f"""
+        c send GET /api @0 X-Call-Id=same
+        b1 expect GET /api
+        c2 send GET /api @0 X-Call-Id=same
+        c2 expect 400 body=*use*
+        {OK}
+        c expect 200""",
+    "a drain on the watch, in pieces, ends sends": f"""
+        {WATCH}
+        s send list b1=draining
+        wait 0.05
+        c send GET /api @0
+        c expect 503 Retry-After=0.*
+        s send list b1=up
+        wait 0.05
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200""",
+    "a watch that breaks, is turned away or talks nonsense is opened again from what is known": f"""
+        {WATCH}
+        s send list b1=up
+        wait 0.05
+        s close
+        s expect GET /registry/instances?watch=1&after=9
+        s send 503
+        s expect GET /registry/instances?watch=1&after=9
+        s send 200 Transfer-Encoding=chunked
+        s send raw nonsense
+        s expect GET /registry/instances?watch=1&after=9""",
+    "on SIGTERM it is not ready, still takes, answers all it took and closes": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        d close
+        wait 0.05
+        c2 send GET /health/ready
+        c2 expect 503
+        c3 send GET /api @1
+        b2 expect GET /api
+        b2 send 200 body=late
+        c3 expect 200 Connection=close body=late
+        wait 0.6
+        {OK}
+        c expect 200 body=data
+        c expect eof""",
+}
+
+CREATE = """
+        c send POST /v/big?uploads
+        c expect 200 >up=<UploadId>(.*)</UploadId>
+"""
+
+
+def part(number: int, text: str, box: str = "b1") -> str:
+    """An UploadPart that the box takes."""
+    return f"""
+        c send PUT /v/big?partNumber={number}&uploadId={{up}} body={text}
+        {box} expect PUT /v/* body={text}
+        {box} send 200 ETag=t{number}
+        c expect 200 >e{number}=()
+"""
+
+
+def parts(*rows: tuple[int, str]) -> str:
+    """The body of Complete."""
+    from hashlib import md5
+
+    inner = "".join(
+        f"<Part><PartNumber>{number}</PartNumber><ETag>{md5(text.encode()).hexdigest()}</ETag></Part>"
+        for number, text in rows
+    )
+    return f"'body=<CompleteMultipartUpload>{inner}</CompleteMultipartUpload>'"
+
+
+PUT = """
+        c send PUT /v/a Content-Type=text/plain body=0123456789
+        b1 expect PUT /v/* Content-Length=10 body=0123456789
+        b1 send 200 ETag=t1
+        c expect 200 ETag="781e5e245d69b566979b86e28d23f2c7"
+""".replace('ETag="781e5e245d69b566979b86e28d23f2c7"', "'ETag=\"781e5e245d69b566979b86e28d23f2c7\"'")
+OBJECTS = {
+    "an object is written and read, whole and by range": f"""{PUT}
+        c send GET /v/a
+        b1 expect GET /v/* Range=bytes=0-9 If-Match=t1
+        b1 send 206 'Content-Range=bytes 0-9/10' body=0123456789
+        c expect 200 Content-Type=text/plain* Content-Length=10 body=0123456789
+        c send GET /v/a Range=bytes=2-4
+        b1 expect GET /v/* Range=bytes=2-4
+        b1 send 206 'Content-Range=bytes 2-4/10' body=234
+        c expect 206 'Content-Range=bytes 2-4/10' body=234
+        c send GET /v/a Range=bytes=-3
+        b1 expect GET /v/* Range=bytes=7-9
+        b1 send 206 'Content-Range=bytes 7-9/10' body=789
+        c expect 206 body=789
+        c send GET /v/a Range=bytes=10-
+        c expect 416 'Content-Range=bytes [*]/10' body=*InvalidRange*
+        c send GET /v/a If-None-Match=*
+        c expect 304
+        c send GET /v/a If-Match=x
+        c expect 412 body=*PreconditionFailed*
+        c send GET /v/a Range=bytes=2-4 If-Range=x
+        b1 expect GET /v/* Range=bytes=0-9
+        b1 send 206 'Content-Range=bytes 0-9/10' body=0123456789
+        c expect 200 body=0123456789
+        c send DELETE /v/a
+        c expect 204
+        c send GET /v/a
+        c expect 404 body=*NoSuchKey*
+        b1 expect DELETE /v/*
+        b1 send 204""",
+    "a range read cut midway goes on from there, under If-Match": f"""{PUT}
+        c send GET /v/a Range=bytes=1-8
+        b1 expect GET /v/* Range=bytes=1-8 If-Match=t1
+        b1 send 206 'Content-Range=bytes 1-8/10' Content-Length=8 body=123
+        wait 0.05
+        b1 close
+        b1 expect GET /v/* Range=bytes=4-8 If-Match=t1
+        b1 expect nothing
+        b1 send 206 'Content-Range=bytes 4-8/10' body=45678
+        c expect 206 body=12345678""",
+    "a cut read that can't go on ends visibly short": f"""{PUT}
+        c send GET /v/a
+        b1 expect GET /v/*
+        b1 send 206 'Content-Range=bytes 0-9/10' Content-Length=10 body=012
+        wait 0.05
+        b1 close
+        b1 expect GET /v/* Range=bytes=3-9
+        b1 send 412
+        c expect short""",
+    "a box that answers another stretch is not believed": f"""{PUT}
+        c send GET /v/a Range=bytes=1-2
+        b1 expect GET /v/*
+        b1 send 206 'Content-Range=bytes 0-1/10' body=01
+        b1 expect GET /v/* Range=bytes=1-2
+        b1 send 206 'Content-Range=bytes 1-2/10' body=12
+        c expect 206 body=12""",
+    "a write that fails on its box is sent once more from the buffer": """
+        c send PUT /v/a body=ab
+        b1 expect PUT /v/* body=ab
+        b1 send 500
+        b1 expect PUT /v/* body=ab
+        b1 send 200
+        c expect 200""",
+    "past the buffer a write can't be repeated: SlowDown": """
+        c send PUT /v/a body=3000*x
+        b1 expect PUT /v/* Content-Length=3000
+        b1 send 500
+        c expect 503 Retry-After=0.* body=*SlowDown*""",
+    "buffers of all clients together are bounded": """
+        c send PUT /v/a body=2048*x
+        b1 expect PUT /v/*
+        c2 send PUT /v/b body=2048*x
+        b2 expect PUT /v/*
+        c3 send PUT /v/c body=2048*x
+        c3 expect 503 Retry-After=0.* body=*SlowDown*
+        b1 send 200
+        c expect 200
+        b2 send 200
+        c2 expect 200""",
+    "a silent box: the absolute deadline ends the call": """
+        c send PUT /v/a X-Budget-Ms=250 body=ab
+        b1 expect PUT /v/* X-Budget-Ms=2*
+        c expect 503 body=*SlowDown*""",
+    "a client that leaves mid-body: the box sees no whole request, the blob is cleaned up": """
+        c send PUT /v/a Content-Length=9000 body=4000*x
+        wait 0.1
+        c close
+        wait 0.1
+        b1 expect nothing
+        c2 send GET /v/a
+        c2 expect 404""",
+    "a client that leaves mid-answer is no fault of the box": f"""{PUT}
+        c send GET /v/a
+        b1 expect GET /v/*
+        b1 send 206 'Content-Range=bytes 0-9/10' Content-Length=10 body=012
+        wait 0.05
+        c close
+        wait 0.05
+        b1 close
+        c2 send GET /v/a
+        b1 expect GET /v/* Range=bytes=0-9
+        b1 send 206 'Content-Range=bytes 0-9/10' body=0123456789
+        c2 expect 200""",
+    "multipart: parts, a list, Complete repeated, a read over all parts": f"""{CREATE}{part(1, "hello")}
+        c send PUT /v/big?partNumber=2&uploadId={{up}} body=world
+        b1 expect PUT /v/*
+        b1 send 200 ETag=t2
+        c expect 200
+        c send GET /v/big?uploadId={{up}}&max-parts=1
+        c expect 200 body=*<IsTruncated>true*<PartNumber>1*<Size>5*
+        c send POST /v/big?uploadId={{up}} {parts((2, "world"), (1, "hello"))}
+        c expect 400 body=*InvalidPartOrder*
+        c send POST /v/big?uploadId={{up}} {parts((1, "other"))}
+        c expect 400 body=*InvalidPart*
+        c send POST /v/big?uploadId={{up}} body=<x
+        c expect 400 body=*MalformedXML*
+        c send POST /v/big?uploadId={{up}} {parts((1, "hello"), (2, "world"))}
+        c expect 200 body=*-2*
+        c send POST /v/big?uploadId={{up}} {parts((1, "hello"), (2, "world"))}
+        c expect 200 body=*-2*
+        c send DELETE /v/big?uploadId={{up}}
+        c expect 404 body=*NoSuchUpload*
+        c send GET /v/big Range=bytes=3-6
+        b1 expect GET /v/* Range=bytes=3-4 If-Match=t1
+        b1 send 206 'Content-Range=bytes 3-4/5' body=lo
+        b1 expect GET /v/* Range=bytes=0-1 If-Match=t2
+        b1 send 206 'Content-Range=bytes 0-1/5' body=wo
+        c expect 206 'Content-Range=bytes 3-6/10' body=lowo""",
+    "abort, repeated, and its parts cleaned up": f"""{CREATE}{part(1, "hello")}
+        c send DELETE /v/big?uploadId={{up}}
+        c expect 204
+        c send DELETE /v/big?uploadId={{up}}
+        c expect 204
+        c send PUT /v/big?partNumber=2&uploadId={{up}} body=x
+        c expect 404 body=*NoSuchUpload*
+        c send POST /v/big?uploadId={{up}} {parts((1, "hello"))}
+        c expect 404 body=*NoSuchUpload*
+        b1 expect DELETE /v/*
+        b1 send 204""",
+    "a part that arrives while its upload is aborted is not kept": f"""{CREATE}
+        c send PUT /v/big?partNumber=1&uploadId={{up}} body=x
+        b1 expect PUT /v/*
+        c2 send DELETE /v/big?uploadId={{up}}
+        c2 expect 204
+        b1 send 200
+        c expect 404 body=*NoSuchUpload*
+        b1 expect DELETE /v/*
+        b1 send 204""",
+    "a box that starts draining between parts: later ones go elsewhere, Complete answers once": f"""
+        {CREATE}{part(1, "hello")}
+        o send b1=draining
+        wait 0.25
+        {part(2, "world", "b2")}{part(3, "again", "b2")}
+        b1 expect nothing
+        c send POST /v/big?uploadId={{up}} {parts((1, "hello"), (2, "world"), (3, "again"))}
+        c expect 200 body=*-3*""",
+    "parts on a box that is taken off the list are no parts": f"""{CREATE}{part(1, "hello")}
+        o send b1=gone
+        wait 0.05
+        c send POST /v/big?uploadId={{up}} {parts((1, "hello"))}
+        c expect 400 body=*InvalidPart*
+        {part(1, "anew", "b2")}
+        c send POST /v/big?uploadId={{up}} {parts((1, "anew"))}
+        c expect 200""",
+    "all boxes drain: SlowDown at once": """
+        o send b1=draining b2=draining
+        c send PUT /v/a body=x
+        c expect 503 Retry-After=0.* body=*SlowDown*""",
+    "what is not part of the interface is said so": """
+        c send GET /w/a
+        c expect 404 body=*NoSuchBucket*
+        c send GET /v/a?acl
+        c expect 501 body=*NotImplemented*
+        c send POST /v/a
+        c expect 405 body=*MethodNotAllowed*
+        c send HEAD /v/a
+        c expect 404
+        c send GET /v/%ff
+        c expect 400 body=*InvalidURI*
+        c send PUT /v/a Content-Length=600000
+        c expect 413 body=*EntityTooLarge*""",
+    "a stated digest is checked": """
+        c send PUT /v/a Content-MD5=AAAAAAAAAAAAAAAAAAAAAA== body=x
+        b1 expect PUT /v/*
+        b1 send 200
+        c expect 400 body=*BadDigest*
+        b1 expect DELETE /v/*
+        b1 send 204""",
+}
+
+
+async def play(script: str, objects: bool, folder: Path) -> None:
+    """Run one scenario; whatever it did, the core owes nobody anything at its end."""
+    stands = {name: Stand() for name in ("b1", "b2", "s")}
+    ports = {name: await stand.start() for name, stand in stands.items()}
+    world = World(stands, ports, None)
+    if objects:
+        boxes = {n: {"address": f"127.0.0.1:{ports[n]}", "shard": int(n[1]) - 1} for n in ("b1", "b2")}
+        raw = {**OPERATOR, "boxes": boxes, "catalogue": str(folder / "catalogue")}
+        daemon = Daemon(None, model.read_operator(raw))
+
+        async def operate(words: list[str]) -> None:
+            for word in words:
+                name, state = word.split("=")
+                if state == "gone":
+                    del boxes[name]
+                else:
+                    boxes[name]["state"] = state
+            assert daemon.objects is not None
+            daemon.objects.enact(model.read_state(raw))
+
+        world.operate = operate
+    else:
+        config = Config(
+            name="n",
+            listen=address("127.0.0.1:0"),
+            discovery=f"127.0.0.1:{ports['s']}",
+            seed=1,
+            settings=from_wire(WIRE),
+            names=names_from_wire(WIRE),
+            peer_listen=None,
+            peers=[],
+            known={"seq": 7, "whole": True, "hosts": [world.host("b1", "up"), world.host("b2", "up")]},
+        )
+        daemon = Daemon(config, None)
+    world.daemon = daemon
+    await daemon.start()
+    ports["front"] = daemon.port(0)
+    if not objects and not script.lstrip().startswith("s "):
+        script = "s expect GET /registry/*\ns send 200 Transfer-Encoding=chunked\ns send raw ''\n" + script
+    try:
+        await world.run(script)
+        for client in list(world.clients):
+            await world._leave(client, [])
+        await asyncio.sleep(0.05)
+        assert daemon.core.owed() == 0
+        counts = daemon.core.counts
+        assert counts["taken"] == sum(counts[kind] for kind in ("served", "refused", "failed", "left"))
+    finally:
+        if not world.tasks:
+            world.tasks.append(asyncio.create_task(daemon.stop()))
+        for stand in stands.values():
+            await stand.close()
+        await asyncio.gather(*world.tasks)
+
+
+@pytest.mark.parametrize("script", PLATFORM.values(), ids=PLATFORM.keys())
+def test_platform(script: str, tmp_path: Path) -> None:
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+@pytest.mark.parametrize("script", OBJECTS.values(), ids=OBJECTS.keys())
+def test_objects(script: str, tmp_path: Path) -> None:
+    asyncio.run(play(script, objects=True, folder=tmp_path))
