--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,130 @@
+"""The operator's file, plan and apply, and the daemon as a process."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+FILE = """
+listen = "127.0.0.1:{listen}"
+admin = "127.0.0.1:{admin}"
+catalogue = "{folder}/catalogue"
+[boxes.box-1]
+address = "127.0.0.1:9201"
+shard = 0
+[boxes.box-2]
+address = "127.0.0.1:9202"
+shard = 1
+[grades.gold]
+reserve = 5
+[volumes.v]
+grade = "gold"
+"""
+
+
+def run(*arguments: str, **more: str) -> subprocess.CompletedProcess[str]:
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | more
+    command = [sys.executable, "-m", "harriertide", *arguments]
+    return subprocess.run(command, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=60)
+
+
+def free_ports() -> list[int]:
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+    ports = [int(one.getsockname()[1]) for one in held]
+    for one in held:
+        one.close()
+    return ports
+
+
+def test_plan_and_apply_against_a_running_daemon(tmp_path: Path) -> None:
+    listen, admin = free_ports()
+    text = FILE.format(listen=listen, admin=admin, folder=tmp_path)
+    file, plan, other = (str(tmp_path / name) for name in ("o.toml", "plan", "other"))
+    Path(file).write_text(text)
+    command = [sys.executable, "-m", "harriertide", "serve", "--objects", file]
+    daemon = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True)
+    try:
+        until = time.monotonic() + 20
+        while (first := run("plan", file, "-o", plan)).returncode and time.monotonic() < until:
+            time.sleep(0.1)
+        assert first.stdout == "no change\n"
+        text = text.replace("shard = 0", 'shard = 0\nstate = "draining"').replace("box-2", "box-3")
+        text = text.replace("reserve = 5", "reserve = 7") + "\n[limits]\nattempts = 3\n"
+        Path(file).write_text(text)
+        said = run("plan", file, "-o", plan).stdout.splitlines()
+        assert said == [
+            "~ boxes.box-1.state: up -> draining",
+            "- boxes.box-2",
+            "+ boxes.box-3 (address=127.0.0.1:9202, shard=1, state=up)",
+            "~ grades.gold.reserve: 5.0 -> 7.0",
+            "~ limits.attempts: 4 -> 3",
+        ]
+        assert run("plan", file, "-o", other).stdout.splitlines() == said, "a plan changed something"
+        assert run("apply", plan).returncode == 0
+        stale = run("apply", other)
+        assert stale.returncode == 1 and "moved" in stale.stderr
+        assert run("plan", file, "-o", plan).stdout == "no change\n"
+        spoiled = json.loads(Path(plan).read_text())
+        spoiled["state"]["boxes"]["box-1"]["state"] = "odd"
+        Path(plan).write_text(json.dumps(spoiled))
+        wrong = run("apply", plan)
+        assert wrong.returncode == 2 and "boxes.box-1.state" in wrong.stderr
+    finally:
+        daemon.send_signal(signal.SIGTERM)
+        _, log = daemon.communicate(timeout=20)
+    assert daemon.returncode == 0 and "counters" in log
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('state = "up"', 'state = "odd"', "boxes.box-1.state"),
+        ("shard = 1", "shard = 0", "boxes.box-2.shard"),
+        ("shard = 1", "shard = true", "boxes.box-2.shard"),
+        ("shard = 1", "", "boxes.box-2.shard"),
+        ("shard = 1", "shard = 1\nodd = 1", "boxes.box-2.odd"),
+        ('grade = "gold"', 'grade = "lead"', "volumes.v.grade"),
+        ("reserve = 5", "reserve = -5", "grades.gold.reserve"),
+        ("reserve = 5", "reserve = nan", "grades.gold.reserve"),
+        ("127.0.0.1:9201", "10.0.0.1:9201", "boxes.box-1.address"),
+        ('admin = "127', 'admin = "8', "admin"),
+        ("[volumes.v]", "[odd]\n[volumes.v]", "odd"),
+        ("[volumes.v]", "[limits]\nread_aim_ms = 9000\n[volumes.v]", "limits.read_aim_ms"),
+        ("[volumes.v]", "[volumes.v", "not TOML"),
+    ],
+)
+def test_a_wrong_key_or_value_is_named(tmp_path: Path, old: str, new: str, named: str) -> None:
+    text = FILE.format(listen=1, admin=2, folder=tmp_path).replace("shard = 0", 'shard = 0\nstate = "up"')
+    file = tmp_path / "o.toml"
+    file.write_text(text.replace(old, new, 1))
+    for words in (("plan", str(file), "-o", str(tmp_path / "p")), ("serve", "--objects", str(file))):
+        done = run(*words)
+        assert done.returncode == 2 and named in done.stderr
+        assert len(done.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [("", "not JSON"), ("{}", "name"), ('{"name":"n","listen":"127.0.0.1:0","discovery":"x"}', "settings")],
+)
+def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path: Path, text: str, named: str) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(text)
+    done = run(LB_CONFIG=str(file))
+    assert done.returncode == 2 and named in done.stderr and len(done.stderr.splitlines()) == 1
+
+
+def test_the_command_line() -> None:
+    assert run("version").stdout.startswith("harriertide ")
+    assert run("odd").returncode == 2
+    assert "LB_CONFIG" in run().stderr
+    assert run("counters", "x").returncode == 2
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,165 @@
+"""The reducer alone, with scripted modules: what it guards whatever the module does."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harriertide import api
+from harriertide.core import events as ev
+from harriertide.core.reducer import COLD_WRITE_US, Reducer
+from tests.helpers import SETTINGS, START_US
+
+LONE = replace(SETTINGS, heads=1, may_tell=False)
+NODES = (api.NodeEntry("n0", 0), api.NodeEntry("n1", 1))
+HELD = ev.Listed(api.NodeList("held", NODES))
+
+
+class Scripted:
+    """A module that answers each call with the next actions of a script, or raises them."""
+
+    def __init__(self, *script: Sequence[api.Action] | Exception) -> None:
+        self.script, self.heard = list(script), list[api.Event]()
+
+    def __call__(self, settings: api.Settings, seed: int) -> Any:
+        return self
+
+    def decide(self, now_us: int, events: list[api.Event]) -> Sequence[api.Action]:
+        self.heard += events
+        step = self.script.pop(0) if self.script else ()
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+def arrival(request: str = "r", shard: int = 0) -> ev.Arrived:
+    return ev.Arrived(api.Arrival(request, 0, 0, "v", shard, START_US + 1_000_000))
+
+
+def send(node: str = "n0") -> api.Send:
+    return api.Send("r", node, START_US + 500_000)
+
+
+def kinds(effects: Sequence[ev.Effect], kind: type) -> list[Any]:
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def test_a_second_attempt_beside_one_that_is_out_is_turned_back() -> None:
+    module = Scripted([send(), send("n1")])
+    core = Reducer(LONE, 1, module)
+    done = core.step(START_US, [HELD, arrival()])
+    assert [(e.attempt, e.node) for e in kinds(done, ev.StartAttempt)] == [(0, "n0")]
+    assert [e.kind for e in module.heard if isinstance(e, api.Outcome)] == ["moot"]
+
+
+def test_a_send_to_a_node_that_drains_is_turned_back() -> None:
+    module = Scripted([], [send()])
+    core = Reducer(LONE, 1, module)
+    core.step(START_US, [HELD, ev.Listed(api.NodeList("changes", (replace(NODES[0], state="draining"),)))])
+    assert not kinds(core.step(START_US, [arrival()]), ev.StartAttempt)
+
+
+def test_a_drain_told_between_the_decision_and_the_writing_stops_the_send() -> None:
+    core = Reducer(LONE, 1, Scripted([send()]))
+    core.step(START_US, [HELD, arrival()])
+    assert core.may_write("r", 0, START_US) is None
+    core.step(START_US, [ev.Listed(api.NodeList("changes", (replace(NODES[0], state="draining"),)))])
+    assert core.may_write("r", 0, START_US) == "full"
+    core.step(START_US, [ev.Listed(api.NodeList("changes", (replace(NODES[0], state="gone"),)))])
+    assert core.may_write("r", 0, START_US) == "full"
+
+
+def test_a_send_to_a_cold_node_that_was_held_up_is_not_written() -> None:
+    young = replace(NODES[0], started_us=START_US - 1_000_000)
+    core = Reducer(LONE, 1, Scripted([send()]))
+    core.step(START_US, [ev.Listed(api.NodeList("held", (young,))), arrival()])
+    assert core.may_write("r", 0, START_US + COLD_WRITE_US) is None
+    assert core.may_write("r", 0, START_US + COLD_WRITE_US + 1) == "connect_failed"
+
+
+def test_nothing_is_written_for_a_client_that_left_but_its_outcome_is_heard() -> None:
+    module = Scripted([send()])
+    core = Reducer(LONE, 1, module)
+    core.step(START_US, [HELD, arrival()])
+    core.step(START_US, [ev.Left("r")])
+    assert core.may_write("r", 0, START_US) == "moot"
+    assert not kinds(core.step(START_US, [ev.Ended("r", 0, "ok", b"")]), ev.Answer)
+    assert [type(e) for e in module.heard[2:]] == [api.Departed, api.Outcome]
+    assert not core.holds("r")
+
+
+def test_one_final_answer_whatever_the_module_says_after_it() -> None:
+    core = Reducer(LONE, 1, Scripted([send()], [api.Refuse("r"), api.Fail("r")]))
+    core.step(START_US, [HELD, arrival()])
+    done = core.step(START_US, [ev.Ended("r", 0, "ok", b"x"), ev.Ended("r", 0, "ok", b"y")])
+    assert [(e.kind, e.reply) for e in kinds(done, ev.Answer)] == [("served", b"x")]
+
+
+def test_a_fault_of_the_module_answers_what_is_open_and_starts_a_fresh_one() -> None:
+    module = Scripted([send()], RuntimeError("odd"), [api.Log("fresh")])
+    core = Reducer(LONE, 1, module)
+    core.step(START_US, [HELD, arrival()])
+    done = core.step(START_US, [arrival("s", 1)])
+    assert {(e.request, e.kind) for e in kinds(done, ev.Answer)} == {("r", "refused"), ("s", "refused")}
+    assert [e.text[:5] for e in kinds(done, ev.Say)] == ["the d", "fresh"]
+    assert core.owed() == 0 and core.counts["module_faults"] == 1
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(st.integers(0, 10**6))
+def test_any_course_of_events_gives_each_request_at_most_one_answer(seed: int) -> None:
+    random, core, now = Random(seed), Reducer(LONE, seed), START_US
+    out: dict[str, int] = {}
+    answered: list[str] = []
+    left: set[str] = set()
+    timers: list[tuple[int, int]] = []
+    made = 0
+
+    def step(*events: ev.Event) -> None:
+        for effect in core.step(now, list(events)):
+            if isinstance(effect, ev.StartAttempt):
+                assert effect.request not in out and effect.request not in answered
+                out[effect.request] = effect.attempt
+            elif isinstance(effect, ev.Answer):
+                answered.append(effect.request)
+            elif isinstance(effect, ev.SetTimer):
+                timers.append((effect.at_us, effect.token))
+
+    step(HELD)
+    for _ in range(120):
+        now += random.randrange(20_000)
+        for timer in sorted(t for t in timers if t[0] <= now):
+            timers.remove(timer)
+            step(ev.Fired(timer[1]))
+        choice = random.random()
+        if choice < 0.5:
+            made += 1
+            budget = random.randrange(50_000, 900_000)
+            step(ev.Arrived(api.Arrival(f"r{made}", 0, 0, "v", random.choice((-1, 0, 1)), now + budget)))
+        elif choice < 0.8 and out:
+            request = random.choice(sorted(out))
+            kind = random.choice(("ok", "error", "full", "timeout", "reset", "connect_failed"))
+            step(ev.Ended(request, out.pop(request), kind))  # type: ignore[arg-type]
+        elif choice < 0.9 and made:
+            request = f"r{random.randrange(made) + 1}"
+            left.add(request)
+            step(ev.Left(request))
+        else:
+            node = replace(random.choice(NODES), state=random.choice(("live", "draining")))
+            step(ev.Listed(api.NodeList("changes", (node,))))
+    now += 2_000_000  # past every deadline: what is out times out, what is held is given up
+    for _ in range(1_000):
+        for request in sorted(out):
+            step(ev.Ended(request, out.pop(request), "timeout"))
+        if timers:
+            step(ev.Fired(timers.pop(0)[1]))
+        if not core.owed():
+            break
+    assert len(answered) == len(set(answered))
+    assert core.owed() == 0
+    assert set(answered) | left >= {f"r{n + 1}" for n in range(made)}
