Harden: cold window by real sends, early idle close on SIGTERM, stalled clients, bounded connects

Seen on reading the paths again: (1) core/reducer.py: budgets of cold boxes are booked when decided, but bytes may leave 40 ms later, so two windows' budgets could meet in one; the module's window is now longer by that. (2) net/process.py closed idle connections only at exit, leaving a race with a last request; now at the end of the accept window. (3) objects/jobs.py blamed the box for a client that brings no body; now cancelled. (4) a late attempt could write into an ended answer; guarded. (5) discovery's connect had a time-out of the library; now an absolute deadline.

--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -7,7 +7,7 @@
 import traceback
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from harriertide import api
 from harriertide.core import events as ev
@@ -18,6 +18,14 @@
 COLD_WRITE_US = 40_000
 
 
+def _for_module(settings: api.Settings) -> api.Settings:
+    """The module books a cold node's budget when it decides; the bytes leave up to COLD_WRITE_US later.
+
+    A window longer by that keeps two windows' budgets from meeting in one window of real sends.
+    """
+    return replace(settings, fall_us=settings.fall_us + COLD_WRITE_US) if settings.fall_us else settings
+
+
 @dataclass(slots=True)
 class Taken:
     """A request from its arrival until it is answered and no attempt of it is out."""
@@ -42,7 +50,7 @@
         self.settings = settings
         self.counts: Counter[str] = Counter()
         self._make, self._seed = scheduler, seed
-        self._scheduler = scheduler(settings, seed)
+        self._scheduler = scheduler(_for_module(settings), seed)
         self._taken: dict[str, Taken] = {}
         self._nodes: dict[str, api.NodeEntry] = {}
         self._effects: list[ev.Effect] = []
@@ -105,7 +113,7 @@
             return [api.PeerNote(event.head, event.body)]
         if isinstance(event, ev.Resettled):
             self.settings = event.settings
-            return [api.Resettled(event.settings)]
+            return [api.Resettled(_for_module(event.settings))]
         return [api.Woke(event.token)]
 
     def _arrive(self, arrival: api.Arrival) -> list[api.Event]:
@@ -222,7 +230,7 @@
             wait_us = self.settings.max_retry_after_us if kind == "refused" else 0
             self._final(ev.Answer(taken.arrival.request, kind, None, wait_us))  # type: ignore[arg-type]
         self._seed += 1
-        self._scheduler = self._make(self.settings, self._seed)
+        self._scheduler = self._make(_for_module(self.settings), self._seed)
         held = api.NodeList("held", tuple(self._nodes.values()))
         try:
             for action in self._scheduler.decide(now_us, [held]):
--- a/harriertide/net/discovery.py
+++ b/harriertide/net/discovery.py
@@ -91,10 +91,20 @@
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
         url = f"{self._url}?watch=1&after={self._directory.seq}"
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
+        begun = loop.time()
+        trace = aiohttp.TraceConfig()
+
+        async def connected(session: object, context: object, params: object) -> None:
+            limit.reschedule(begun + HEAD_S)
+
+        trace.on_connection_create_end.append(connected)
         async with (
-            asyncio.timeout_at(loop.time() + HEAD_S) as limit,
-            aiohttp.ClientSession(timeout=timeout, trust_env=False) as session,
+            asyncio.timeout_at(begun + CONNECT_S) as limit,
+            aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+                trust_env=False,
+                trace_configs=[trace],
+            ) as session,
             session.get(url, allow_redirects=False) as response,
         ):
             if response.status != 200:
--- a/harriertide/net/front.py
+++ b/harriertide/net/front.py
@@ -16,6 +16,9 @@
 from harriertide.settings import Names
 
 BODY_BYTES = 64 * 1024
+# A body that is refused unread is read on for so long: closing on unread bytes resets the connection, and
+# the client might lose the answer that says why.
+LINGER_S = 1.0
 READY, SERVICE = "/health/ready", "/api"
 # The client counts from when it sent; the broker reads a little later. Kept to its end for that.
 SENT_BEFORE_US = 3_000
@@ -187,6 +190,6 @@
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
-        lingering_time=0.0,
+        lingering_time=LINGER_S,
         max_line_size=16_384,
     )
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -172,11 +172,11 @@
         await _until(loop, loop.time() + ACCEPT_S)
         for listener, _ in self.servers:
             listener.close()
+        for _, web_server in self.servers:
+            web_server.pre_shutdown()  # idle connections close now, busy ones after their answer
         while self._busy() and loop.time() < finish_by:
             await _until(loop, loop.time() + 0.02)
         await _until(loop, loop.time() + 0.02)  # answers on their way out
-        for _, web_server in self.servers:
-            web_server.pre_shutdown()
         if self.watch is not None:
             await self.watch.close()
         if self.peers is not None:
--- a/harriertide/objects/front.py
+++ b/harriertide/objects/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sqlite3
 from collections import Counter
 from dataclasses import dataclass
 from secrets import token_hex
@@ -10,6 +11,7 @@
 
 from aiohttp import web
 
+from harriertide.log import log
 from harriertide.objects import multipart, s3
 from harriertide.objects.catalogue import Piece, Stored
 from harriertide.objects.jobs import Source
@@ -98,8 +100,12 @@
                 raise S3Error("NoSuchBucket", "The specified bucket does not exist")
             return await self._route(call)
         except S3Error as error:
-            resource = request.raw_path.partition("?")[0]
-            return s3.error_answer(error, resource, call_id, request.method == "HEAD")
+            fault = error
+        except sqlite3.Error as broken:  # a full or failing disk under the catalogue
+            log(f"catalogue: {broken}")
+            fault = S3Error("InternalError", "The catalogue could not be read or written")
+        resource = request.raw_path.partition("?")[0]
+        return s3.error_answer(fault, resource, call_id, request.method == "HEAD")
 
     async def _route(self, call: Call) -> web.StreamResponse:
         method, query, store = call.request.method, call.query, self._store
@@ -216,7 +222,11 @@
         """The pieces that the span touches, one after the other, under one deadline."""
         give_up_us = self._store.give_up_us(False, span.size, call.budget_ms)
 
+        ended = False
+
         async def sink(chunk: bytes) -> None:
+            if ended:  # guards against a late attempt writing into an answer that is over
+                raise ConnectionResetError("the answer is over")
             if not response.prepared:
                 response.headers["x-amz-request-id"] = call.id
                 if not self.ready:
@@ -233,6 +243,7 @@
             try:
                 await self._store.read(call.bucket, piece, first, last, give_up_us, sink)
             except S3Error:
+                ended = True
                 if not response.prepared:
                     raise
                 # begun and not to be finished: the client can tell, as fewer bytes come than were stated
--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -40,11 +40,15 @@
     def broken(self) -> bool:
         """The client did not bring it whole."""
 
+    @property
+    def waiting(self) -> bool:
+        """The client is to bring more of it."""
+
 
 class Held:
     """A body in memory, which can be sent as often as needed."""
 
-    broken = False
+    broken = waiting = False
 
     def __init__(self, data: bytes) -> None:
         self._data, self.size = data, len(data)
@@ -62,7 +66,7 @@
 
     def __init__(self, content: aiohttp.StreamReader, size: int) -> None:
         self._content, self.size = content, size
-        self._begun = self.broken = False
+        self._begun = self.broken = self.waiting = False
         self._digest = md5(usedforsecurity=False)
 
     @property
@@ -79,10 +83,14 @@
         self._begun = True
         passed = 0
         try:
+            self.waiting = True
             while chunk := await self._content.read(CHUNK_BYTES):
+                self.waiting = False
                 passed += len(chunk)
                 self._digest.update(chunk)
                 yield chunk
+                self.waiting = True
+            self.waiting = False
         except Exception:
             self.broken = True
             raise BodyError("the client left") from None
@@ -147,7 +155,7 @@
                 return kind, None
         except BrokenError as end:
             # a client that brings no body says nothing of the box's health
-            return ("cancelled" if source.broken else end.kind), None
+            return ("cancelled" if source.broken or source.waiting else end.kind), None
 
 
 class ReadBlob(ObjectJob):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -311,6 +311,11 @@
         c expect 200
         b2 send 200
         c2 expect 200""",
+    "a client that stalls mid-body is answered by its deadline, and what came is cleaned up": """
+        c send PUT /v/a Content-Length=9000 X-Budget-Ms=300 body=4000*x
+        c expect 503 body=*SlowDown*
+        b1 expect DELETE /v/*
+        b1 send 204""",
     "a silent box: the absolute deadline ends the call": """
         c send PUT /v/a X-Budget-Ms=250 body=ab
         b1 expect PUT /v/* X-Budget-Ms=2*
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,186 @@
+"""Small parts of the wire side by themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harriertide import counts, log
+from harriertide.core import events as ev
+from harriertide.core.reducer import COLD_WRITE_US, Reducer
+from harriertide.net.clock import Clock
+from harriertide.net.discovery import Directory
+from harriertide.net.front import MalformedError, read_arrival
+from harriertide.net.nodes import KEEP_PART, NodeClient
+from harriertide.net.peers import Peers
+from harriertide.objects import s3
+from harriertide.settings import names_from_wire
+from tests.helpers import SETTINGS
+from tests.test_net import WIRE
+
+GOOD = {
+    "X-Call-Id": "i",
+    "X-Call-Class": "page-read",
+    "X-Storage-Class": "gold",
+    "X-Budget-Ms": "480",
+    "X-Extent": "volume=00000003b4d60021,units=2,shard=5,hosts=3",
+}
+
+
+def test_the_fields_that_decisions_need_are_read() -> None:
+    got = read_arrival("GET", "/api?a=1&key=7f3a9c21e0b4d655", GOOD, 1_000_000, names_from_wire(WIRE))
+    assert (got.volume, got.units, got.shard, got.hosts) == ("00000003b4d60021", 2.0, 5, 3)
+    assert got.key == "7f3a9c21e0b4d655" and not got.repeated
+    # the budget counts from when the client sent, which was before now
+    assert 1_470_000 < got.give_up_us < 1_480_000
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.sampled_from(sorted(GOOD)), st.text(max_size=30), st.text(max_size=30))
+def test_any_header_is_read_or_said_to_be_malformed(name: str, value: str, target: str) -> None:
+    try:
+        read_arrival("GET", f"/api?{target}", {**GOOD, name: value}, 0, names_from_wire(WIRE))
+    except MalformedError as reason:
+        assert str(reason)
+
+
+def test_only_listed_peers_are_heard_and_junk_has_no_effect() -> None:
+    heard: list[Any] = []
+    peers = Peers(["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"], 0, heard.append)
+    peers.datagram_received(b"ok", ("127.0.0.1", 3))
+    peers.datagram_received(b"own", ("127.0.0.1", 1))
+    peers.datagram_received(b"who", ("127.0.0.1", 9))
+    peers.datagram_received(b"x" * 257, ("127.0.0.1", 2))
+    assert heard == [ev.Heard(2, b"ok")] and peers.counts["junk"] == 3
+    core = Reducer(SETTINGS, 1)
+    core.step(1, [ev.Heard(1, b""), ev.Heard(1, b"FT\x02odd"), ev.Heard(7, b"\xff" * 256)])
+    assert core.counts["module_faults"] == 0
+
+
+def test_no_datagram_is_over_256_bytes() -> None:
+    async def main() -> None:
+        loop, got = asyncio.get_running_loop(), asyncio.Queue[bytes]()
+
+        class Other(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: Any) -> None:
+                got.put_nowait(data)
+
+        transport, _ = await loop.create_datagram_endpoint(Other, local_addr=("127.0.0.1", 0))
+        at = f"127.0.0.1:{transport.get_extra_info('sockname')[1]}"
+        peers = Peers(["127.0.0.1:1", at], 0, lambda event: None)
+        await loop.create_datagram_endpoint(lambda: peers, local_addr=("127.0.0.1", 0))
+        peers.tell(1, b"x" * 257)
+        peers.tell(5, b"nobody")
+        peers.tell(1, b"x" * 256)
+        async with asyncio.timeout_at(loop.time() + 5):
+            assert len(await got.get()) == 256
+        assert peers.counts["unsent"] == 2
+        peers.close()
+        transport.close()
+
+    asyncio.run(main())
+
+
+def test_the_clock_is_unix_time_and_the_loops_at_once() -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        clock = Clock(loop)
+        assert abs(clock.now_us() - time.time_ns() // 1000) < 1_000_000
+        assert abs(clock.loop_time(clock.now_us() + 500_000) - loop.time() - 0.5) < 0.1
+
+    asyncio.run(main())
+
+
+def test_idle_connections_are_dropped_before_the_node_would() -> None:
+    async def main() -> None:
+        client = NodeClient(lambda node: None, 250_000, 10_000_000)
+        connector = client._session.connector
+        assert connector is not None and connector._keepalive_timeout == KEEP_PART * 10 < 10
+        assert connector.limit > 100
+        await client.close()
+
+    asyncio.run(main())
+
+
+def test_the_module_books_cold_sends_in_a_window_longer_by_what_writing_may_take() -> None:
+    seen: list[int] = []
+
+    def make(given_settings: Any, seed: int) -> Any:
+        seen.append(given_settings.fall_us)
+
+    Reducer(SETTINGS, 1, make)
+    assert seen == [SETTINGS.fall_us + COLD_WRITE_US]
+
+
+def test_a_start_in_unix_milliseconds_becomes_the_clocks_microseconds() -> None:
+    host = {"host": "h", "dial": "127.0.0.1:1", "site": "a", "block": 3, "health": "up", "born_ms": 1_700_000}
+    gone = {**host, "host": "g", "born_ms": 0, "health": "removed"}
+    page = {"seq": 5, "whole": False, "hosts": [host, gone]}
+    directory = Directory({"a": 0})
+    first, second = directory.read(page).nodes
+    assert (first.started_us, first.shard, first.state) == (1_700_000_000, 3, "live")
+    assert (second.started_us, second.state) == (0, "gone")
+    assert directory.seq == 5 and directory.find("h") == "127.0.0.1:1"
+
+
+def test_the_log_is_bounded_and_says_what_it_left_out(capsys: pytest.CaptureFixture[str]) -> None:
+    bounded = log.Log()
+    for number in range(1_000):
+        bounded(f"line {number}")
+    assert len(capsys.readouterr().err.splitlines()) < 100
+    bounded._room = 5.0
+    bounded("later")
+    assert "lines left out" in capsys.readouterr().err
+
+
+def test_counters_are_one_line() -> None:
+    assert counts.line({"a": Counter(x=1, b=2)}) == "counters a.b=2 a.x=1"
+
+
+@pytest.mark.parametrize(
+    ("header", "span"),
+    [
+        (None, (0, 9, True)),
+        ("bytes=0-0", (0, 0, False)),
+        ("bytes=5-", (5, 9, False)),
+        ("bytes=5-100", (5, 9, False)),
+        ("bytes=-20", (0, 9, False)),
+        ("bytes=4-2", (0, 9, True)),
+        ("bytes=0-1,3-4", (0, 9, True)),
+        ("items=0-1", (0, 9, True)),
+        ("bytes=-", (0, 9, True)),
+        ("bytes=x-1", (0, 9, True)),
+    ],
+)
+def test_ranges(header: str | None, span: tuple[int, int, bool]) -> None:
+    got = s3.read_range(header, 10)
+    assert (got.first, got.last, got.whole) == span
+
+
+@pytest.mark.parametrize(("header", "size"), [("bytes=10-", 10), ("bytes=-0", 10), ("bytes=0-", 0)])
+def test_ranges_that_cannot_be_met(header: str, size: int) -> None:
+    with pytest.raises(s3.S3Error, match="range") as fault:
+        s3.read_range(header, size)
+    assert fault.value.headers["Content-Range"] == f"bytes */{size}"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"<x/>",
+        b"<CompleteMultipartUpload/>",
+        b"<CompleteMultipartUpload><Part><PartNumber>0</PartNumber><ETag>a</ETag></Part></CompleteMultipartUpload>",
+        b'<!DOCTYPE x [<!ENTITY a "a">]><CompleteMultipartUpload/>',
+    ],
+)
+def test_documents_that_complete_nothing(body: bytes) -> None:
+    with pytest.raises(s3.S3Error) as fault:
+        s3.read_complete(body)
+    assert fault.value.code == "MalformedXML"
