Send no first byte of a streamed part late: have the body's start at hand before arrival

Seen on reading aiohttp's client: the head of a request leaves together with the first chunk of its body. At fault: objects/jobs.py Streamed, which was taken into the core before the client had brought anything, so a client that pauses while its box drains would have reached that box after 250 ms. Now the first chunk is read first; Held bodies already were whole. Checked: a scenario with both kinds of body, a drain and a pause; the part goes to the other box. Ruled out: the platform front, whose bodies are whole before they are submitted.

--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -62,10 +62,15 @@
 
 
 class Streamed:
-    """A body that passes through once, too large to be held: what is gone can't be sent again."""
+    """A body that passes through once, too large to be held: what is gone can't be sent again.
 
-    def __init__(self, content: aiohttp.StreamReader, size: int) -> None:
-        self._content, self.size = content, size
+    first: what has come of it already. The client library sends the head of a request together with the
+    first bytes of its body, so these must be at hand: else they would leave whenever the client goes on,
+    long after the core was last asked, perhaps to a box that drains by then.
+    """
+
+    def __init__(self, content: aiohttp.StreamReader, size: int, first: bytes) -> None:
+        self._content, self.size, self._first = content, size, first
         self._begun = self.broken = self.waiting = False
         self._digest = md5(usedforsecurity=False)
 
@@ -81,7 +86,9 @@
 
     async def _pass(self) -> AsyncIterator[bytes]:
         self._begun = True
-        passed = 0
+        passed = len(self._first)
+        self._digest.update(self._first)
+        yield self._first
         try:
             self.waiting = True
             while chunk := await self._content.read(CHUNK_BYTES):
--- a/harriertide/objects/store.py
+++ b/harriertide/objects/store.py
@@ -18,7 +18,16 @@
 from harriertide.net.nodes import NodeClient
 from harriertide.net.runtime import Runtime
 from harriertide.objects.catalogue import Catalogue, Piece
-from harriertide.objects.jobs import DeleteBlob, Held, ObjectJob, ReadBlob, Source, Streamed, WriteBlob
+from harriertide.objects.jobs import (
+    CHUNK_BYTES,
+    DeleteBlob,
+    Held,
+    ObjectJob,
+    ReadBlob,
+    Source,
+    Streamed,
+    WriteBlob,
+)
 from harriertide.objects.s3 import S3Error, slow_down
 
 SWEEP_S, SWEEP_MOST = 1.0, 8
@@ -113,19 +122,24 @@
     async def take(self, content: aiohttp.StreamReader, size: int, give_up_us: int) -> Source:
         """The client's body: small ones whole, so that they can be sent once more; others pass through."""
         limits = self.limits
-        if size > limits["repeat_kb"] * 1024:
-            return Streamed(content, size)
-        if self._held + size > limits["repeat_total_kb"] * 1024:
-            self.counts["buffers_full"] += 1
-            raise slow_down(self._runtime.core.settings.max_retry_after_us)
-        self._held += size
         try:
             async with asyncio.timeout_at(self._runtime.clock.loop_time(give_up_us)):
-                return Held(await content.readexactly(size))
+                if size > limits["repeat_kb"] * 1024:
+                    return Streamed(content, size, await content.read(CHUNK_BYTES))
+                return await self._hold(content, size)
         except TimeoutError:
             raise S3Error("RequestTimeout", "The body did not come within the time of the request") from None
         except asyncio.IncompleteReadError:
             raise S3Error("IncompleteBody", "The body is shorter than Content-Length says") from None
+
+    async def _hold(self, content: aiohttp.StreamReader, size: int) -> Held:
+        limits = self.limits
+        if self._held + size > limits["repeat_total_kb"] * 1024:
+            self.counts["buffers_full"] += 1
+            raise slow_down(self._runtime.core.settings.max_retry_after_us)
+        self._held += size
+        try:
+            return Held(await content.readexactly(size))
         finally:
             self._held -= size
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,6 +6,7 @@
     b1 expect METHOD TARGET-PATTERN [Header=PATTERN ...] [body=TEXT]   (or: b1 expect nothing)
     b1 send STATUS [Header=Value ...] [body=TEXT]
     c expect STATUS [Header=PATTERN ...] [body=PATTERN]                (or: c expect eof | c expect short)
+    c send raw body=TEXT                                               more of a body
     c close / b1 close                                                 the connection last used
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
@@ -120,6 +121,9 @@
     async def _ask(self, actor: str, words: list[str]) -> None:
         if actor not in self.clients:
             self.clients[actor] = Line(*await asyncio.open_connection("127.0.0.1", self.ports["front"]))
+        if words[0] == "raw":
+            self.clients[actor].writer.write(self._fields(words[1:], {}))
+            return
         method, target, *rest = words
         shard = next((word[1:] for word in rest if word.startswith("@")), None)
         headers: Headers = {"Host": "x"}
@@ -138,6 +142,9 @@
         if words[0] == "eof":
             assert await line.reader.read() == b""
             return
+        if words[0] == "100":
+            assert (await line.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            return
         first, headers, body, whole = await line.message()
         if words[0] == "short":
             assert not whole, "the answer is whole"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -393,6 +393,29 @@
         b1 expect nothing
         c send POST /v/big?uploadId={{up}} {parts((1, "hello"), (2, "world"), (3, "again"))}
         c expect 200 body=*-3*""",
+    "a part whose client pauses while its box drains goes elsewhere, held or passing through": f"""
+        {CREATE}
+        c send PUT /v/big?partNumber=1&uploadId={{up}} Content-Length=5
+        c2 send PUT /v/big?partNumber=2&uploadId={{up}} Content-Length=3000
+        wait 0.1
+        o send b1=draining
+        wait 0.25
+        c send raw body=hello
+        b2 expect PUT /v/* body=hello
+        b2 send 200
+        c expect 200
+        c2 send raw body=3000*x
+        b2 expect PUT /v/* body=3000*x
+        b2 send 200
+        c2 expect 200
+        b1 expect nothing""",
+    "a client that waits for the word gets it": """
+        c send PUT /v/a Expect=100-continue Content-Length=2
+        c expect 100
+        c send raw body=ab
+        b1 expect PUT /v/* body=ab
+        b1 send 200
+        c expect 200""",
     "parts on a box that is taken off the list are no parts": f"""{CREATE}{part(1, "hello")}
         o send b1=gone
         wait 0.05
@@ -428,7 +451,22 @@
 }
 
 
-async def play(script: str, objects: bool, folder: Path) -> None:
+BOTH = """
+        c send PUT /v/a body=ab
+        b1 expect PUT /v/* body=ab
+        b1 send 200
+        c expect 200
+        s send list b1=draining
+        wait 0.05
+        c send GET /v/a
+        c expect 503 Retry-After=0.* body=*SlowDown*
+        c send PUT /v/b body=cd
+        b2 expect PUT /v/* body=cd
+        b2 send 200
+        c expect 200"""
+
+
+async def play(script: str, objects: bool, folder: Path, both: bool = False) -> None:
     """Run one scenario; whatever it did, the core owes nobody anything at its end."""
     stands = {name: Stand() for name in ("b1", "b2", "s")}
     ports = {name: await stand.start() for name, stand in stands.items()}
@@ -461,10 +499,11 @@
             peers=[],
             known={"seq": 7, "whole": True, "hosts": [world.host("b1", "up"), world.host("b2", "up")]},
         )
-        daemon = Daemon(config, None)
+        raw = {**OPERATOR, "catalogue": str(folder / "catalogue")}
+        daemon = Daemon(config, model.read_operator(raw) if both else None)
     world.daemon = daemon
     await daemon.start()
-    ports["front"] = daemon.port(0)
+    ports["front"] = daemon.port(1 if both else 0)
     if not objects and not script.lstrip().startswith("s "):
         script = "s expect GET /registry/*\ns send 200 Transfer-Encoding=chunked\ns send raw ''\n" + script
     try:
@@ -491,3 +530,7 @@
 @pytest.mark.parametrize("script", OBJECTS.values(), ids=OBJECTS.keys())
 def test_objects(script: str, tmp_path: Path) -> None:
     asyncio.run(play(script, objects=True, folder=tmp_path))
+
+
+def test_the_object_front_beside_the_platforms_follows_discovery(tmp_path: Path) -> None:
+    asyncio.run(play(BOTH, objects=False, folder=tmp_path, both=True))
