Call an attempt that was never written out connect_failed, and test each outcome

Seen: net/nodes.py booked an attempt as timed out when its deadline passed before its last byte was written, though a box starts a request only with that byte. Now written decides between timeout and connect_failed. Added: scenarios check the core's outcome counters (reset, full, error, connect_failed, timeout, cancelled), a kept connection closed while idle, a silent watch. Ruled out: a client leaving mid-answer being booked against a box that breaks at the same time; it did break.

--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -154,8 +154,8 @@
                 )
                 yield response
         except TimeoutError:
-            past = asyncio.get_running_loop().time() >= stop_at
-            raise BrokenError("timeout" if past or course.written else "connect_failed") from None
+            # a box starts a request with its last byte: one that was not written out never ran
+            raise BrokenError("timeout" if course.written else "connect_failed") from None
         except NotWrittenError as early:
             raise BrokenError(early.kind) from None
         except aiohttp.ClientError:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -10,6 +10,7 @@
     c close / b1 close                                                 the connection last used
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
+    d expect COUNTER=VALUE ...                                         of the core
 
 @SHARD writes the platform's headers. {NAME} is what an earlier "expect ... >NAME=REGEX" took from a body.
 """
@@ -106,6 +107,9 @@
         verb, words = (words[0], words[1:]) if actor != "wait" else ("wait", words)
         if actor == "wait":
             await asyncio.sleep(float(words[0]))
+        elif actor == "d" and verb == "expect":
+            for name, _, value in (word.partition("=") for word in words):
+                assert self.daemon.core.counts[name] == int(value), f"{name}: {self.daemon.core.counts}"
         elif actor == "d":
             self.tasks.append(asyncio.create_task(self.daemon.stop()))
         elif actor == "o":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import pytest
 
 from harriertide.config import model
+from harriertide.net import discovery
 from harriertide.net.peers import address
 from harriertide.net.process import Config, Daemon
 from harriertide.settings import from_wire, names_from_wire
@@ -43,6 +44,18 @@
         s send raw ''
 """
 PLATFORM = {
+    "a box that closes a kept connection while it is idle costs no attempt": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        b1 close
+        wait 0.05
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        d expect attempts=2 outcome_ok=2""",
     "a request passes unchanged and its answer too": """
         c send PUT /api?key=00000000000000AB&x=%41%2f @0 body=ab
         b1 expect PUT /api?key=00000000000000AB&x=%41%2f X-Call-Id=id1 X-Budget-Ms=* body=ab
@@ -64,7 +77,8 @@
         b1 send 500
         b1 expect GET /api
         {OK}
-        c expect 200""",
+        c expect 200
+        d expect outcome_error=1 outcome_ok=1 attempts=2""",
     "a kept connection that breaks is not repeated by the client library behind the core's back": f"""
         c send PUT /api @0
         b1 expect PUT /api
@@ -77,7 +91,8 @@
         b1 close
         b1 expect PUT /api
         b1 close
-        c expect 503 Retry-After=0.*""",
+        c expect 503 Retry-After=0.*
+        d expect outcome_reset=3 attempts=4""",
     "a turned-away request is tried again, at most as often as the settings allow": """
         c send GET /api @0
         b1 expect GET /api
@@ -86,11 +101,13 @@
         b1 send 504 X-Rejected=1
         b1 expect GET /api
         b1 send 500
-        c expect 503 Retry-After=0.*""",
+        c expect 503 Retry-After=0.*
+        d expect outcome_full=2 outcome_error=1""",
     "a box that refuses connections is told to the client as a refusal": """
         b1 close listen
         c send GET /api @0
-        c expect 503 Retry-After=0.*""",
+        c expect 503 Retry-After=0.*
+        d expect outcome_connect_failed=3""",
     "an answer cut in its body is tried again": f"""
         c send GET /api @0
         b1 expect GET /api
@@ -98,7 +115,8 @@
         b1 close
         b1 expect GET /api
         {OK}
-        c expect 200 body=data""",
+        c expect 200 body=data
+        d expect outcome_reset=1""",
     "an answer is never decompressed, redirects are not followed": """
         c send GET /api @0
         b1 expect GET /api
@@ -113,7 +131,8 @@
     "the deadline counts from the request: a silent box costs no more": """
         c send GET /api @0 X-Budget-Ms=200
         b1 expect GET /api X-Budget-Ms=1*
-        c expect 503""",
+        c expect 503
+        d expect outcome_timeout=1""",
     "a client that leaves gets nothing, and the attempt's outcome is taken": f"""
         c send GET /api @0
         b1 expect GET /api
@@ -124,7 +143,8 @@
         c2 send GET /api @0
         b1 expect GET /api
         {OK}
-        c2 expect 200""",
+        c2 expect 200
+        d expect left=1 outcome_ok=2""",
     "malformed requests are answered at once, by their reason": """
         c send GET /api
         c expect 400 body=X-Call-Id*
@@ -315,7 +335,8 @@
         c send PUT /v/a Content-Length=9000 X-Budget-Ms=300 body=4000*x
         c expect 503 body=*SlowDown*
         b1 expect DELETE /v/*
-        b1 send 204""",
+        b1 send 204
+        d expect outcome_cancelled=1""",
     "a silent box: the absolute deadline ends the call": """
         c send PUT /v/a X-Budget-Ms=250 body=ab
         b1 expect PUT /v/* X-Budget-Ms=2*
@@ -327,8 +348,9 @@
         wait 0.1
         b1 expect nothing
         c2 send GET /v/a
-        c2 expect 404""",
-    "a client that leaves mid-answer is no fault of the box": f"""{PUT}
+        c2 expect 404
+        d expect outcome_cancelled=1""",
+    "a client that leaves mid-answer owes nothing to later ones": f"""{PUT}
         c send GET /v/a
         b1 expect GET /v/*
         b1 send 206 'Content-Range=bytes 0-9/10' Content-Length=10 body=012
@@ -534,3 +556,14 @@
 
 def test_the_object_front_beside_the_platforms_follows_discovery(tmp_path: Path) -> None:
     asyncio.run(play(BOTH, objects=False, folder=tmp_path, both=True))
+
+
+def test_a_watch_that_falls_silent_is_given_up(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "QUIET_S", 0.4)
+    script = f"""{WATCH}
+        wait 0.3
+        s send raw ''
+        wait 0.3
+        s expect nothing
+        s expect GET /registry/instances?watch=1&after=7"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
