Show on sockets that a drain told while a connection comes up stops the send

Seen: the look at the moment of writing was tested at the reducer only; with it taken out of net/nodes.py all scenarios still passed. Added: a scenario with a slow connect; without the look it fails, with it the attempt ends as full and the box gets nothing. Conclusion: both guards are held by a test that bites.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import pytest
 
 from harriertide.config import model
@@ -567,3 +568,26 @@
         s expect nothing
         s expect GET /registry/instances?watch=1&after=7"""
     asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_a_drain_told_while_a_connection_comes_up_stops_the_send(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Decided before the drain was told, written after it: what the look at the moment of writing is for."""
+    connect = aiohttp.TCPConnector.connect
+
+    async def slow(*given: Any, **named: Any) -> Any:
+        connection = await connect(*given, **named)
+        await asyncio.sleep(0.15)
+        return connection
+
+    monkeypatch.setattr(aiohttp.TCPConnector, "connect", slow)
+    script = f"""{WATCH}
+        wait 0.3
+        c send GET /api @0
+        wait 0.05
+        s send list b1=draining
+        c expect 503 Retry-After=0.*
+        b1 expect nothing
+        d expect attempts=1 outcome_full=1"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
