--- a/harriertide/config/model.py
+++ b/harriertide/config/model.py
@@ -85,6 +85,7 @@
     "most_units": Number(1, 1_000, 8),
     "body_kb": Number(1, 5_000_000, 262_144),
     "part_least_kb": Number(0, 5_000_000, 5_120),
+    "upload_hours": Number(1, 100_000, 168),
     "repeat_kb": Number(1, 65_536, 1_024),
     "repeat_total_kb": Number(1, 131_072, 16_384),
 }
--- a/harriertide/net/front.py
+++ b/harriertide/net/front.py
@@ -16,6 +16,9 @@
 from harriertide.settings import Names
 
 BODY_BYTES = 64 * 1024
+# Client connections beyond which an answer also closes its connection: guards against clients' kept
+# connections using up the 1,024 descriptors that those to boxes come from too.
+KEPT_MOST = 480
 # A body that is refused unread is read on for so long: closing on unread bytes resets the connection, and
 # the client might lose the answer that says why.
 LINGER_S = 1.0
@@ -125,13 +128,14 @@
     def __init__(self, runtime: Runtime, client: NodeClient, names: Names) -> None:
         self.counts: Counter[str] = Counter()
         self.ready = True
+        self.kept: Callable[[], int] = lambda: 0  # client connections now
         self._runtime, self._client, self._names = runtime, client, names
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """One request, one answer."""
         response = await self._serve(request)
         self.counts[f"answers_{response.status}"] += 1
-        if not self.ready:
+        if not self.ready or self.kept() > KEPT_MOST:
             response.force_close()
         return response
 
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -147,7 +147,9 @@
             if config.peer_listen is not None and self.peers is not None:
                 peers = self.peers
                 await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
-            await self._listen(config.listen, server(self.front.handle))
+            web_server = server(self.front.handle)
+            self.front.kept = lambda: len(web_server.connections)
+            await self._listen(config.listen, web_server)
         if self.objects is not None:
             for at, web_server in self.objects.servers():
                 await self._listen(address(at), web_server)
--- a/harriertide/objects/catalogue.py
+++ b/harriertide/objects/catalogue.py
@@ -183,6 +183,14 @@
         asked = tuple((number, etag) for number, etag in json.loads(row[6]))
         return Upload(row[0], row[1], row[2], row[3], row[4], row[5], asked)
 
+    def left_open(self, before_ms: int, most: int) -> list[Upload]:
+        """Uploads that began before then and are still open."""
+        rows = self._db.execute(
+            "select id, bucket, key from uploads where state = 'open' and began_ms < ? limit ?",
+            (before_ms, most),
+        ).fetchall()
+        return [upload for row in rows if (upload := self.upload(*row)) is not None]
+
     def add_part(self, upload: Upload, part: Part) -> bool:
         """Take a part; False if the upload is over by now. A part of the same number becomes a stray."""
         with _Whole(self._db):
--- a/harriertide/objects/store.py
+++ b/harriertide/objects/store.py
@@ -211,6 +211,10 @@
             loop.call_at(loop.time() + SWEEP_S, come.set_result, None)
             await come
             try:
+                old_ms = self.now_ms() - self.limits["upload_hours"] * 3_600_000
+                for upload in self.catalogue.left_open(old_ms, SWEEP_MOST):
+                    self.counts["uploads_expired"] += 1
+                    self.catalogue.abort(upload)
                 for bucket, blob, box, shard in self.catalogue.strays(self.now_ms(), SWEEP_MOST):
                     await self._delete(bucket, blob, box, shard)
             except Exception as fault:  # one bad row must not end the clean-up for good
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sqlite3
 from pathlib import Path
 from typing import Any
 
@@ -10,9 +11,10 @@
 import pytest
 
 from harriertide.config import model
-from harriertide.net import discovery
+from harriertide.net import discovery, front
 from harriertide.net.peers import address
 from harriertide.net.process import Config, Daemon
+from harriertide.objects.catalogue import Catalogue
 from harriertide.settings import from_wire, names_from_wire
 from tests.scenario import Stand, World
 from tests.test_wire import SETTINGS
@@ -591,3 +593,29 @@
         b1 expect nothing
         d expect attempts=1 outcome_full=1"""
     asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_past_its_bound_of_connections_an_answer_closes_its_own(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(front, "KEPT_MOST", 1)
+    script = """
+        c send GET /health/ready
+        c expect 200 Connection=-
+        c2 send GET /health/ready
+        c2 expect 200 Connection=close
+        c2 expect eof"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_a_catalogue_that_cannot_be_read_is_an_internal_error(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def broken(*given: object) -> None:
+        raise sqlite3.OperationalError("disk I/O error")
+
+    monkeypatch.setattr(Catalogue, "find", broken)
+    script = """
+        c send GET /v/a
+        c expect 500 body=*InternalError*"""
+    asyncio.run(play(script, objects=True, folder=tmp_path))
