On SIGTERM really close idle connections at the end of the accept window

Seen: a scenario line added for it (c4 expect eof) failed. At fault: net/process.py, which called aiohttp's pre_shutdown; in web_protocol.py that cancels the reading of an idle connection but leaves its transport open, so a request sent there later would be taken and never answered. Now net/front.py FrontServer knows which connections are at work and closes the others by force_close. Ruled out: closing those at work; their answers say close.

--- a/harriertide/net/front.py
+++ b/harriertide/net/front.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from math import isfinite
+from typing import Any
 
 from aiohttp import web
 
@@ -179,17 +180,45 @@
         return plain(502, "failed")
 
 
+class FrontServer(web.Server):
+    """aiohttp's low-level server, which knows which of its connections are at work."""
+
+    def __init__(self, busy: set[object], *given: Any, **named: Any) -> None:
+        super().__init__(*given, **named)
+        self._busy = busy
+
+    def close_idle(self) -> None:
+        """Close the connections that no request is on.
+
+        Not by pre_shutdown: that ends the reading of an idle connection but leaves it open, so that what a
+        client sends on it later would be taken and never answered.
+        """
+        for connection in self.connections:
+            if connection not in self._busy:
+                connection.force_close()
+
+
 def server(
     handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], body_bytes: int = BODY_BYTES
-) -> web.Server:
+) -> FrontServer:
     """aiohttp's low-level server around a handler; a request whose client leaves is cancelled."""
     loop = asyncio.get_running_loop()
 
     def make(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
         return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=body_bytes)
 
-    return web.Server(
-        handle,
+    busy: set[object] = set()
+
+    async def tracked(request: web.BaseRequest) -> web.StreamResponse:
+        busy.add(request.protocol)
+        try:
+            return await handle(request)
+        finally:
+            busy.discard(request.protocol)
+
+    return FrontServer(
+        busy,
+        tracked,
         request_factory=make,
         handler_cancellation=True,
         access_log=None,
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -14,7 +14,6 @@
 from typing import Any
 
 import orjson
-from aiohttp import web
 
 from harriertide import api
 from harriertide.config import model
@@ -25,7 +24,7 @@
 from harriertide.log import adopt_libraries, log
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory, Watch
-from harriertide.net.front import Front, server
+from harriertide.net.front import Front, FrontServer, server
 from harriertide.net.nodes import NodeClient
 from harriertide.net.peers import Peers, address
 from harriertide.net.runtime import Runtime
@@ -142,7 +141,7 @@
         """Bring the sockets up."""
         loop = asyncio.get_running_loop()
         config = self.config
-        self.servers: list[tuple[asyncio.Server, web.Server]] = []
+        self.servers: list[tuple[asyncio.Server, FrontServer]] = []
         if config is not None:
             if config.peer_listen is not None and self.peers is not None:
                 peers = self.peers
@@ -155,7 +154,7 @@
                 await self._listen(address(at), web_server)
             self.objects.start()
 
-    async def _listen(self, at: tuple[str, int], web_server: web.Server) -> None:
+    async def _listen(self, at: tuple[str, int], web_server: FrontServer) -> None:
         loop = asyncio.get_running_loop()
         self.servers.append((await loop.create_server(web_server, *at, backlog=BACKLOG), web_server))
         log(f"serves on {at[0]}:{self.port(-1)}")
@@ -175,10 +174,12 @@
         for listener, _ in self.servers:
             listener.close()
         for _, web_server in self.servers:
-            web_server.pre_shutdown()  # idle connections close now, busy ones after their answer
+            web_server.close_idle()  # those at work close after their answer
         while self._busy() and loop.time() < finish_by:
             await _until(loop, loop.time() + 0.02)
         await _until(loop, loop.time() + 0.02)  # answers on their way out
+        for _, web_server in self.servers:
+            web_server.close_idle()
         if self.watch is not None:
             await self.watch.close()
         if self.peers is not None:
--- a/harriertide/objects/service.py
+++ b/harriertide/objects/service.py
@@ -5,14 +5,12 @@
 import asyncio
 from collections import Counter
 
-from aiohttp import web
-
 from harriertide import api
 from harriertide.config import model
 from harriertide.config.admin import Admin
 from harriertide.config.model import Operator, OperatorFileError, State
 from harriertide.core import events as ev
-from harriertide.net.front import server
+from harriertide.net.front import FrontServer, server
 from harriertide.net.nodes import NodeClient
 from harriertide.net.runtime import Runtime
 from harriertide.objects.catalogue import Catalogue
@@ -74,7 +72,7 @@
         """Counters by part."""
         return {"objects": self.front.counts, "store": self.store.counts}
 
-    def servers(self) -> list[tuple[str, web.Server]]:
+    def servers(self) -> list[tuple[str, FrontServer]]:
         """Listeners: the front's and the admin's."""
         front, admin = server(self.front.handle), server(self._admin.handle, STATE_BYTES)
         return [(self._operator.listen, front), (self._operator.admin, admin)]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -206,6 +206,8 @@
         s send raw nonsense
         s expect GET /registry/instances?watch=1&after=9""",
     "on SIGTERM it is not ready, still takes, answers all it took and closes": f"""
+        c4 send GET /health/ready
+        c4 expect 200
         c send GET /api @0
         b1 expect GET /api
         d close
@@ -217,6 +219,7 @@
         b2 send 200 body=late
         c3 expect 200 Connection=close body=late
         wait 0.6
+        c4 expect eof
         {OK}
         c expect 200 body=data
         c expect eof""",
