Take SIGHUP: read the file again, move the watch, keep what is under way

Checked: 129 is 128+1, the default action of SIGHUP; process.py registered SIGTERM, SIGINT and SIGUSR1 only (serve, lines at fault).

Now: Daemon.reload reads LB_CONFIG's file (the environment can't follow it), logs a bad one in one line and keeps the old; settings enter by the reducer's Resettled, classes and plans in the places they held, so that a number of a request under way never changes its meaning. The watch moves by asking the new address for its whole list (another discovery's seq may mean nothing) before the old watch is let go; the old one's end is no failure. Also: make build had the deploy file's mark and left out the tools for development.

Tests: four scenarios and a process under real signals, each fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 .PHONY: build test lint run
 
-build: .venv/.done
+build: .venv/.dev
 
-.venv/.done: requirements-dev.txt
+# another mark than that of deploy/balancer.toml, whose build leaves out the tools for development
+.venv/.dev: requirements-dev.txt
 	rm -rf .venv
 	python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt
-	touch .venv/.done
+	touch .venv/.done .venv/.dev
 
 # PYTHON may name another environment's interpreter, as .ci/run does
 PYTHON ?= .venv/bin/python
--- a/harriertide/net/discovery.py
+++ b/harriertide/net/discovery.py
@@ -27,7 +27,7 @@
 
     def __init__(self, zones: dict[str, int]) -> None:
         self.seq = 0
-        self._zones = zones
+        self.zones = zones
         self._dial: dict[str, str] = {}
 
     def find(self, node: str) -> str | None:
@@ -52,71 +52,126 @@
             node=str(raw["host"]),
             shard=int(raw["block"]),
             state=_STATES[raw["health"]],  # type: ignore[arg-type]
-            zone=self._zones.get(raw.get("site", ""), 0),
+            zone=self.zones.get(raw.get("site", ""), 0),
             started_us=int(raw.get("born_ms") or 0) * 1000,
         )
 
 
 class Watch:
-    """One watch at a time; the core decides when the next one opens."""
+    """One watch at a time; the core decides when the next one opens.
+
+    When discovery moves, the watch on its old address goes on until the one on the new has told its list.
+    """
 
     def __init__(self, address: str, directory: Directory, post: Callable[[ev.Event], None]) -> None:
         self.counts: Counter[str] = Counter()
-        self._url = f"http://{address}/registry/instances"
+        self.address = address
         self._directory, self._post = directory, post
         self._task: asyncio.Task[None] | None = None
+        self._old: asyncio.Task[None] | None = None
+        self._anew = False  # nothing was heard yet of the discovery at this address
 
     def open(self) -> None:
         """Start watching, unless a watch is up."""
         if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._follow())
+            self._task = asyncio.get_running_loop().create_task(self._follow(self.address))
+
+    def move(self, address: str) -> None:
+        """Discovery is at another address from now on."""
+        self.address, self._anew = address, True
+        self.counts["moved"] += 1
+        if self._task is not None and not self._task.done():
+            self._let_go()
+            self._old = self._task
+        self._task = None
+        self.open()
+
+    def _let_go(self) -> None:
+        """End the watch on an old address; that is no failure."""
+        if self._old is not None:
+            self._old.cancel()
+            self._old = None
 
     async def close(self) -> None:
         """Stop watching, with no word to the core."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = [task for task in (self._task, self._old) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _follow(self) -> None:
+    async def _follow(self, address: str) -> None:
         self.counts["opened"] += 1
         try:
-            await self._read()
+            await self._read(address)
             self.counts["ended"] += 1
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as fault:
             self.counts["broken"] += 1
             log(f"watch on discovery ended: {type(fault).__name__} {fault}")
-        self._task = None
-        self._post(ev.Listed(api.NodeList("failed")))
+        if asyncio.current_task() is self._task:  # not one on an address that discovery has left
+            self._task = None
+            self._post(ev.Listed(api.NodeList("failed")))
 
-    async def _read(self) -> None:
+    async def _read(self, address: str) -> None:
         loop = asyncio.get_running_loop()
-        url = f"{self._url}?watch=1&after={self._directory.seq}"
-        begun = loop.time()
+        url = f"http://{address}/registry/instances"
         trace = aiohttp.TraceConfig()
+        limit = asyncio.timeout_at(loop.time() + CONNECT_S)
 
         async def connected(session: object, context: object, params: object) -> None:
-            limit.reschedule(begun + HEAD_S)
+            limit.reschedule(loop.time() + HEAD_S)
 
         trace.on_connection_create_end.append(connected)
         async with (
-            asyncio.timeout_at(begun + CONNECT_S) as limit,
+            limit,
             aiohttp.ClientSession(
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
                 trust_env=False,
                 trace_configs=[trace],
             ) as session,
-            session.get(url, allow_redirects=False) as response,
         ):
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            rest = b""
+            if self._anew:
+                # Another discovery may count its versions otherwise: the version last heard would ask it
+                # for the wrong changes. So its whole list comes first.
+                async with session.get(url, allow_redirects=False) as response:
+                    self._check(response)
+                    page = b""
+                    async for chunk in response.content.iter_any():
+                        page += chunk
+                        if len(page) > LINE_BYTES:
+                            raise ValueError("a list without an end")
+                    self._take(page, "whole")
+                limit.reschedule(loop.time() + HEAD_S)
+            watch = f"{url}?watch=1&after={self._directory.seq}"
+            async with session.get(watch, allow_redirects=False) as response:
+                self._check(response)
+                await self._lines(response, limit)
+
+    @staticmethod
+    def _check(response: aiohttp.ClientResponse) -> None:
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+
+    async def _lines(self, response: aiohttp.ClientResponse, limit: asyncio.Timeout) -> None:
+        loop = asyncio.get_running_loop()
+        rest = b""
+        limit.reschedule(loop.time() + QUIET_S)
+        async for chunk in response.content.iter_any():
             limit.reschedule(loop.time() + QUIET_S)
-            async for chunk in response.content.iter_any():
-                limit.reschedule(loop.time() + QUIET_S)
-                *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
-                if len(rest) > LINE_BYTES:
-                    raise ValueError("a line without an end")
-                for line in lines:
-                    if line.strip():
-                        self.counts["lines"] += 1
-                        self._post(ev.Listed(self._directory.read(orjson.loads(line))))
+            *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
+            if len(rest) > LINE_BYTES:
+                raise ValueError("a line without an end")
+            for line in lines:
+                if line.strip():
+                    self.counts["lines"] += 1
+                    self._take(line)
+
+    def _take(self, line: bytes, kind: str | None = None) -> None:
+        """News for the core. What an old address still tells counts, but not its version."""
+        page = orjson.loads(line)
+        current = asyncio.current_task() is self._task
+        if not current:
+            page["seq"] = self._directory.seq
+        self._post(ev.Listed(self._directory.read(page, kind)))
+        if current:
+            self._anew = False
+            self._let_go()
--- a/harriertide/net/front.py
+++ b/harriertide/net/front.py
@@ -130,7 +130,7 @@
         self.counts: Counter[str] = Counter()
         self.ready = True
         self.kept: Callable[[], int] = lambda: 0  # client connections now
-        self._runtime, self._client, self._names = runtime, client, names
+        self._runtime, self._client, self.names = runtime, client, names
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """One request, one answer."""
@@ -154,7 +154,7 @@
             response.force_close()
             return response
         try:
-            arrival = read_arrival(request.method, request.raw_path, request.headers, now_us, self._names)
+            arrival = read_arrival(request.method, request.raw_path, request.headers, now_us, self.names)
         except MalformedError as reason:
             return plain(400, str(reason))
         job = PlatformJob(self._client, request, body)
--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -94,7 +94,7 @@
     """Exchanges with nodes. find: the address of a node, by its id."""
 
     def __init__(self, find: Callable[[str], str | None], connect_us: int, idle_us: int) -> None:
-        self._find, self._connect_us = find, connect_us
+        self._find, self.connect_us = find, connect_us
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_headers_sent)
         trace.on_request_chunk_sent.append(_chunk_sent)
@@ -136,7 +136,7 @@
             raise BrokenError("full")
         clock = attempt.runtime.clock
         stop_at = clock.loop_time(attempt.stop_at_us)
-        connect_by = clock.loop_time(clock.now_us() + self._connect_us)
+        connect_by = clock.loop_time(clock.now_us() + self.connect_us)
         limit = asyncio.timeout_at(min(stop_at, connect_by))
         course = _Course(attempt, limit, stop_at)
         token = _COURSE.set(course)
--- a/harriertide/net/peers.py
+++ b/harriertide/net/peers.py
@@ -23,10 +23,14 @@
 
     def __init__(self, peers: list[str], own: int, post: Callable[[ev.Event], None]) -> None:
         self.counts: Counter[str] = Counter()
-        self._peers = [address(peer) for peer in peers]
-        self._numbers = {peer: number for number, peer in enumerate(self._peers) if number != own}
         self._post = post
         self._transport: asyncio.DatagramTransport | None = None
+        self.relist(peers, own)
+
+    def relist(self, peers: list[str], own: int) -> None:
+        """These are the peers from now on, in the order of their numbers."""
+        self._peers = [address(peer) for peer in peers]
+        self._numbers = {peer: number for number, peer in enumerate(self._peers) if number != own}
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -9,7 +9,7 @@
 import sys
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -29,7 +29,7 @@
 from harriertide.net.peers import Peers, address
 from harriertide.net.runtime import Runtime
 from harriertide.objects.service import ObjectService
-from harriertide.settings import Names, from_wire, names_from_wire
+from harriertide.settings import Names, from_wire, in_places, names_from_wire
 
 BACKLOG = 512
 # After SIGTERM: new connections are taken this long, what is taken is finished within the other.
@@ -54,13 +54,18 @@
     peers: list[str]
     known: dict[str, Any]
     writes: tuple[bool, ...] = ()
+    raw_settings: dict[str, Any] = field(default_factory=dict)
 
 
 _LOCAL = Names({}, {}, {}, connect_us=250_000, idle_us=15_000_000)  # without a platform
 
 
-def read_config(environment: Mapping[str, str]) -> Config:
-    """LB_CONFIG, with LB_NAME, LB_LISTEN and LB_DISCOVERY over it where they are set."""
+def read_config(environment: Mapping[str, str], held: Config | None = None) -> Config:
+    """LB_CONFIG, with LB_NAME, LB_LISTEN and LB_DISCOVERY over it where they are set.
+
+    held: what a running daemon goes by. Then only the file counts, as the environment can't follow it, and
+    classes and plans keep their places.
+    """
     path = environment.get("LB_CONFIG", "")
     if not path:
         raise BadConfigError("LB_CONFIG is not set: it names the configuration file")
@@ -72,17 +77,27 @@
         raise BadConfigError(f"LB_CONFIG is not JSON: {fault}") from None
     try:
         listens = str(raw.get("peer_listen") or "")
+        if held is not None:
+            environment = {}
+        name = environment.get("LB_NAME") or str(raw["name"])
+        listen = address(environment.get("LB_LISTEN") or raw["listen"])
+        discovery = environment.get("LB_DISCOVERY") or str(raw["discovery"])
+        settings = raw["settings"]
+        if held is not None:
+            from_wire(settings)  # good by itself, before it is put in the places of those held
+            settings = in_places(settings, held.raw_settings)
         return Config(
-            name=environment.get("LB_NAME") or str(raw["name"]),
-            listen=address(environment.get("LB_LISTEN") or raw["listen"]),
-            discovery=environment.get("LB_DISCOVERY") or str(raw["discovery"]),
+            name=name,
+            listen=listen,
+            discovery=discovery,
             seed=int(str(raw.get("seed") or "0"), 16),
-            settings=from_wire(raw["settings"]),
-            names=names_from_wire(raw["settings"]),
+            settings=from_wire(settings),
+            names=names_from_wire(settings, raw["settings"]),
             peer_listen=address(listens) if listens else None,
             peers=[str(peer) for peer in raw.get("peers") or []],
             known=raw.get("known") or {"seq": 0, "whole": True, "hosts": []},
-            writes=tuple(bool(write) for write in raw["settings"]["domain"].get("writes") or ()),
+            writes=tuple(bool(write) for write in settings["domain"].get("writes") or ()),
+            raw_settings=settings,
         )
     except KeyError as gap:
         raise BadConfigError(f"LB_CONFIG: {gap.args[0]} is missing or unknown") from None
@@ -128,6 +143,35 @@
         own = self.objects.find(node) if self.objects is not None else None
         return own or self.directory.find(node)
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Go by the configuration file as it is now; by what was there before if it can't be used.
+
+        Requests that are under way keep their deadlines, their classes and their plans. Where this process
+        listens stays as it is.
+        """
+        held = self.config
+        if held is None or self.watch is None or self.peers is None:
+            log("reload: there is no configuration file; plan and apply change the operator's")
+            return
+        try:
+            fresh = read_config(environment, held)
+            self.peers.relist(fresh.peers, fresh.settings.head)
+        except (BadConfigError, ValueError) as fault:
+            log(f"reload: {fault}; what was configured before stays in force")
+            return
+        self.config = fresh
+        names = fresh.names
+        self.front.names, self.directory.zones = names, names.zones
+        self.client.connect_us = names.connect_us
+        self.runtime.post(ev.Resettled(fresh.settings))
+        if self.objects is not None:
+            self.objects.replan(names.plans)
+        if fresh.discovery != self.watch.address:
+            self.watch.move(fresh.discovery)
+        if (fresh.listen, fresh.peer_listen) != (held.listen, held.peer_listen):
+            log("reload: listen and peer_listen take effect at the next start")
+        log("reload: the configuration file is in force")
+
     def counters(self) -> str:
         """All counts as one line."""
         parts = {"core": self.core.counts, "front": self.front.counts}
@@ -191,11 +235,12 @@
     def _busy(self) -> bool:
         return self.core.owed() > 0 or (self.objects is not None and self.objects.front.open > 0)
 
-    async def serve(self) -> None:
+    async def serve(self, environment: Mapping[str, str]) -> None:
         """Serve until told to stop, then finish what is taken."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, environment)
         loop.add_signal_handler(signal.SIGUSR1, lambda: log(self.counters()))
         await self.start()
         gc.collect()
@@ -217,7 +262,7 @@
     adopt_libraries()
 
     async def main() -> None:
-        await Daemon(config, operator).serve()
+        await Daemon(config, operator).serve(environment)
 
     try:
         operator = model.load(objects) if objects else None
--- a/harriertide/objects/service.py
+++ b/harriertide/objects/service.py
@@ -63,6 +63,10 @@
             return self._platform
         return {name: place for place, name in enumerate(self._grades)}
 
+    def replan(self, platform: dict[str, int]) -> None:
+        """The platform's plans have changed; those there were keep their numbers."""
+        self._platform = {**(self._platform or {}), **platform}
+
     def find(self, box: str) -> str | None:
         """Where a box of the operator's is dialled."""
         row = self.state["boxes"].get(box)
--- a/harriertide/rules.py
+++ b/harriertide/rules.py
@@ -79,17 +79,18 @@
         self._later: list[tuple[int, int, Request | Cell | str | None]] = []
         self._now = self._count = self._wake_us = self._round_us = self._round_end = 0
         self._ask_wait = ASK_FIRST_US
-        self._usual = [0.0] * len(settings.classes)
+        self._usual: list[float] = []
         self._settle(settings)
         self._taken: deque[int] = deque()
         self._extra: deque[int] = deque()
         self._mute = False  # no sums heard, and said so
         self._heard_us = self._unheard = 0
-        self._alone = settings.heads == 1 or not settings.may_tell
 
     def _settle(self, settings: api.Settings) -> None:
-        """Take new figures; the classes stay as many as they were."""
+        """Take new figures; classes and plans keep their places, new ones come after them."""
         self._s = settings
+        self._alone = settings.heads == 1 or not settings.may_tell
+        self._usual += [0.0] * (len(settings.classes) - len(self._usual))
         self._aim = min(kind.aim_us for kind in settings.classes)
         self._top = max(k.worth * p.price for k in settings.classes for p in settings.plans) or 1.0
 
--- a/harriertide/settings.py
+++ b/harriertide/settings.py
@@ -42,6 +42,20 @@
     )
 
 
+def in_places(raw: Fields, held: Fields) -> Fields:
+    """New settings with each class and plan in the place that it held, and unknown ones after them.
+
+    Guards against a reload giving requests that are under way another class or plan: a number never changes
+    its meaning, and one whose name is no longer stated keeps its place and figures.
+    """
+    placed = dict(raw)
+    for part in ("classes", "plans"):
+        fresh = {entry["name"]: entry for entry in raw[part]}
+        places = [fresh.pop(entry["name"], entry) for entry in held[part]]
+        placed[part] = [*places, *fresh.values()]
+    return placed
+
+
 def _request_class(raw: Fields) -> api.RequestClass:
     return api.RequestClass(
         aim_us=raw["sloUs"],
@@ -76,16 +90,18 @@
     idle_us: int
 
 
-def names_from_wire(raw: Fields) -> Names:
-    """The names of classes, plans and zones, by their places in the settings."""
+def names_from_wire(raw: Fields, stated: Fields | None = None) -> Names:
+    """The names of classes, plans and zones, by their places in the settings; those stated only."""
 
-    def places(names: list[str]) -> dict[str, int]:
-        return {name: place for place, name in enumerate(names)}
+    def places(part: str) -> dict[str, int]:
+        known = {entry["name"] for entry in (stated or raw)[part]}
+        names = [entry["name"] for entry in raw[part]]
+        return {name: place for place, name in enumerate(names) if name in known}
 
     return Names(
-        classes=places([entry["name"] for entry in raw["classes"]]),
-        plans=places([entry["name"] for entry in raw["plans"]]),
-        zones=places(raw.get("zones") or []),
+        classes=places("classes"),
+        plans=places("plans"),
+        zones={name: place for place, name in enumerate(raw.get("zones") or [])},
         connect_us=int(raw["limits"].get("connectTimeoutUs") or 250_000),
         idle_us=int(raw["limits"].get("connIdleUs") or 15_000_000),
     )
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,6 +1,6 @@
 """The scenario language: lines of ACTOR send|expect|close ..., and wait SECONDS.
 
-Actors: c, c2, ... clients; b1, b2, ... stand-in boxes; s stand-in discovery; o the operator; d the daemon.
+Actors: c, c2, ... clients; b1, b2, ... stand-in boxes; s, s2 discovery; o the operator; d the daemon.
 
     c send METHOD TARGET [Header=Value ...] [@SHARD] [body=TEXT | body=N*TEXT]
     b1 expect METHOD TARGET-PATTERN [Header=PATTERN ...] [body=TEXT]   (or: b1 expect nothing)
@@ -8,8 +8,10 @@
     c expect STATUS [Header=PATTERN ...] [body=PATTERN]                (or: c expect eof | c expect short)
     c send raw body=TEXT                                               more of a body
     c close / b1 close                                                 the connection last used
+    s eof                                                              it was closed by the daemon
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
+    d send config PATH=JSON ...   SIGHUP's course, with the configuration file changed there
     d expect COUNTER=VALUE ...                                         of the core
 
 @SHARD writes the platform's headers. {NAME} is what an earlier "expect ... >NAME=REGEX" took from a body.
@@ -89,6 +91,7 @@
         self.taken: dict[str, str] = {}
         self.ids = 0
         self.operate: Callable[[list[str]], Any] | None = None
+        self.reload: Callable[[list[list[str]]], None] = lambda changes: None
         self.tasks: list[asyncio.Task[Any]] = []
 
     async def run(self, script: str) -> None:
@@ -110,13 +113,16 @@
         elif actor == "d" and verb == "expect":
             for name, _, value in (word.partition("=") for word in words):
                 assert self.daemon.core.counts[name] == int(value), f"{name}: {self.daemon.core.counts}"
+        elif actor == "d" and verb == "send":
+            self.reload([word.split("=", 1) for word in words[1:]])
         elif actor == "d":
             self.tasks.append(asyncio.create_task(self.daemon.stop()))
         elif actor == "o":
             assert self.operate is not None
             await self.operate(words)
         elif actor in self.stands:
-            await {"send": self._answer, "expect": self._asked, "close": self._hang_up}[verb](actor, words)
+            steps = {"send": self._answer, "expect": self._asked, "close": self._hang_up, "eof": self._ended}
+            await steps[verb](actor, words)
         else:
             await {"send": self._ask, "expect": self._answered, "close": self._leave}[verb](actor, words)
 
@@ -202,6 +208,12 @@
         assert stand.last is not None
         stand.last.writer.transport.abort()
 
+    async def _ended(self, actor: str, words: list[str]) -> None:
+        line = self.stands[actor].last
+        assert line is not None
+        while not line.reader.at_eof():
+            await asyncio.sleep(0.01)  # the serving task is the one that reads
+
     # --- words ---------------------------------------------------------------------------------
 
     @staticmethod
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from tests.test_net import WIRE
+
 ROOT = Path(__file__).parent.parent
 FILE = """
 listen = "127.0.0.1:{listen}"
@@ -113,6 +115,29 @@
     assert done.returncode == 2 and named in done.stderr and len(done.stderr.splitlines()) == 1
 
 
+def test_sighup_reads_the_file_again_and_does_not_end_the_process(tmp_path: Path) -> None:
+    """Guards against the default action of the signal, which ends a process that has no handler for it."""
+    file = tmp_path / "config.json"
+    where = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1"}
+    good = json.dumps({**where, "settings": WIRE})
+    file.write_text(good)
+    command = [sys.executable, "-m", "harriertide"]
+    environment = {**os.environ, "LB_CONFIG": str(file)}
+    daemon = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
+    try:
+        assert daemon.stderr is not None
+        assert "serves on" in daemon.stderr.readline()
+        for text, said in (("{", "stays in force"), (good, "file is in force")):
+            file.write_text(text)
+            daemon.send_signal(signal.SIGHUP)
+            while said not in (line := daemon.stderr.readline()):
+                assert line, "the process has ended"
+    finally:
+        daemon.send_signal(signal.SIGTERM)
+        daemon.communicate(timeout=20)
+    assert daemon.returncode == 0
+
+
 def test_the_command_line() -> None:
     assert run("version").stdout.startswith("harriertide ")
     assert run("odd").returncode == 2
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import copy
+import json
 import sqlite3
 from pathlib import Path
 from typing import Any
@@ -225,6 +227,59 @@
         c expect eof""",
 }
 
+RELOADS = {
+    "a reload moves the watch: the new address tells its whole list before the old is let go": f"""
+        {WATCH}
+        d send config 'discovery="s2"'
+        s2 expect GET /registry/instances
+        s expect nothing
+        s2 send 200 'body={{"seq":2,"whole":true,"hosts":[]}}'
+        s2 expect GET /registry/instances?watch=1&after=2
+        s2 send 200 Transfer-Encoding=chunked
+        s eof
+        c send GET /api @0
+        c expect 503
+        s2 send list b1=up
+        wait 0.05
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        d expect list_failed=0""",
+    "where the new address does not answer, the old is heard on and its end is no failure": f"""
+        {WATCH}
+        s2 close listen
+        d send config 'discovery="s2"'
+        wait 0.05
+        s send list b1=draining
+        wait 0.05
+        c send GET /api @0
+        c expect 503
+        s close
+        wait 0.05
+        s expect nothing
+        d expect list_failed=1 list_changes=1""",
+    "a reload that changes the settings: open requests keep their deadline, class and plan": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        d send config 'settings.classes.0.name="odd"' settings.classes.0.deadlineUs=9
+        wait 0.3
+        {OK}
+        c expect 200
+        c send GET /api @0
+        c expect 400 body=X-Call-Class*""",
+    "a configuration that can't be used leaves the old one in force": f"""
+        {WATCH}
+        d send config 'settings.classes=[]'
+        d send config 'peers=["x:y"]' 'discovery="s2"'
+        d send config settings=7
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        s2 expect nothing""",
+}
+
 CREATE = """
         c send POST /v/big?uploads
         c expect 200 >up=<UploadId>(.*)</UploadId>
@@ -496,7 +551,7 @@
 
 async def play(script: str, objects: bool, folder: Path, both: bool = False) -> None:
     """Run one scenario; whatever it did, the core owes nobody anything at its end."""
-    stands = {name: Stand() for name in ("b1", "b2", "s")}
+    stands = {name: Stand() for name in ("b1", "b2", "s", "s2")}
     ports = {name: await stand.start() for name, stand in stands.items()}
     world = World(stands, ports, None)
     if objects:
@@ -526,7 +581,24 @@
             peer_listen=None,
             peers=[],
             known={"seq": 7, "whole": True, "hosts": [world.host("b1", "up"), world.host("b2", "up")]},
+            raw_settings=WIRE,
         )
+
+        def reload(changes: list[list[str]]) -> None:
+            where = {"name": "n", "listen": "127.0.0.1:0", "discovery": config.discovery}
+            raw = copy.deepcopy({**where, "settings": WIRE})
+            for path, value in changes:
+                at: Any = raw
+                *way, last = [int(step) if step.isdigit() else step for step in path.split(".")]
+                for step in way:
+                    at = at[step]
+                at[last] = json.loads(value)
+            if raw["discovery"] in ports:
+                raw["discovery"] = f"127.0.0.1:{ports[raw['discovery']]}"
+            (folder / "config").write_text(json.dumps(raw))
+            daemon.reload({"LB_CONFIG": str(folder / "config")})
+
+        world.reload = reload
         raw = {**OPERATOR, "catalogue": str(folder / "catalogue")}
         daemon = Daemon(config, model.read_operator(raw) if both else None)
     world.daemon = daemon
@@ -555,6 +627,11 @@
     asyncio.run(play(script, objects=False, folder=tmp_path))
 
 
+@pytest.mark.parametrize("script", RELOADS.values(), ids=RELOADS.keys())
+def test_reload(script: str, tmp_path: Path) -> None:
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
 @pytest.mark.parametrize("script", OBJECTS.values(), ids=OBJECTS.keys())
 def test_objects(script: str, tmp_path: Path) -> None:
     asyncio.run(play(script, objects=True, folder=tmp_path))
