Read nodes' answers within bounds and never reuse a connection that brought more

Lines at fault: exchange() read without a bound; aiohttp's session keeps a second message in its queue and gives it to the next request, and loses a good answer with noise behind it, as its parser raises on the whole piece.

Checked: a kept connection's request that crossed a close or stray bytes (poll before the write sees both). Ruled out: hooks on the session (its connector bounds only connections at work, not idle ones). Now: net/lines.py cuts out just the bytes of the answer asked for, on aiohttp's client protocol and parser; heads 16 KiB, bodies as asked, 1xx skipped, surplus or any doubt closes the connection. A pool with one bound from the configuration's sockets (net/limits.py), not the constant 450. House style: the client is aiohttp's protocol and parser without its session, which could not keep these bounds. Removed nodes' addresses go from the directory.

--- a/harriertide/net/discovery.py
+++ b/harriertide/net/discovery.py
@@ -34,15 +34,26 @@
         """Where to dial a node."""
         return self._dial.get(node)
 
+    def known(self) -> int:
+        """How many nodes have an address."""
+        return len(self._dial)
+
     def read(self, page: dict[str, Any], kind: str | None = None) -> api.NodeList:
         """One object of discovery as news; ValueError, KeyError or TypeError on what it is not."""
         entries = tuple(self._entry(raw) for raw in page["hosts"])
-        dials = {raw["host"]: str(raw["dial"]) for raw in page["hosts"] if raw.get("dial")}
+        dials = {
+            raw["host"]: str(raw["dial"])
+            for raw in page["hosts"]
+            if raw.get("dial") and raw["health"] != "removed"
+        }
         seq = int(page["seq"])
         whole = bool(page.get("whole"))
         if whole:
             self._dial = {}
         self._dial.update(dials)
+        for entry in entries:
+            if entry.state == "gone":  # its id never comes again
+                self._dial.pop(entry.node, None)
         self.seq = seq
         news = kind or ("whole" if whole else "changes")
         return api.NodeList(news, entries)  # type: ignore[arg-type]
--- /dev/null
+++ b/harriertide/net/lines.py
@@ -0,0 +1,302 @@
+"""Connections to boxes: answers within bounds, and a pool that hands out only what is clean.
+
+Built on aiohttp's client protocol and its parser. Its session and connector stand aside: the session keeps
+what a box sends beyond its answer and gives it to the next request on the connection, and their pool bounds
+only connections at work, not those that lie idle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+import aiohttp
+from aiohttp import HttpVersion11
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
+READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
+_EOF_LINES = frozenset((204, 304))
+
+
+class Phase(Enum):
+    """Where an answer is."""
+
+    NONE = 0  # nothing is asked
+    HEAD = 1
+    SIZED = 2  # a body whose length was said
+    OPEN = 3  # a body whose end has to be found
+    WHOLE = 4
+
+
+class Line(ResponseHandler):
+    """One connection to a box. It reads just the bytes that belong to the answer asked for.
+
+    Guards against what boxes in trouble send: heads and bodies without end, lengths that can't be, a second
+    message or noise behind a good answer or while the connection lies idle. Whatever is surplus makes the
+    connection unfit for another request, and never reaches one.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: str, lost: Callable[[Line], None]) -> None:
+        super().__init__(loop)
+        self.address, self._lost = address, lost
+        self.idle_since = 0.0
+        self.surplus = False
+        self._phase = Phase.NONE
+        self._head = b""
+        self._heads = self._left = self._most = 0
+        self._message: RawResponseMessage | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Any byte that the system has not taken counts as unsent."""
+        super().connection_made(transport)
+        assert isinstance(transport, asyncio.WriteTransport)
+        transport.set_write_buffer_limits(0)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Gone, by whoever's doing."""
+        super().connection_lost(exc)
+        self._lost(self)
+
+    def ask(self, data: bytes, most: int) -> None:
+        """Write a request, or the beginning of one. most: bytes that the answer's body may have."""
+        if self.transport is None:
+            raise aiohttp.ClientConnectionResetError("the connection is gone")
+        self._phase, self._heads, self._most, self._message = Phase.HEAD, 0, most, None
+        self.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=READ_BYTES)
+        self.transport.write(data)
+
+    async def more(self, data: bytes) -> None:
+        """Write more of a request, when what was written before is out."""
+        await self._drain_helper()
+        if self.transport is None:
+            raise aiohttp.ClientConnectionResetError("the connection is gone")
+        self.transport.write(data)
+
+    async def drained(self) -> None:
+        """Until all that was written is out."""
+        await self._drain_helper()
+
+    @property
+    def fit(self) -> bool:
+        """Whether another request may go over it: the last answer came whole, and nothing beside it."""
+        return (
+            self._phase is Phase.WHOLE
+            and not (self.surplus or self.should_close or self.writing_paused)
+            and self.is_connected()
+        )
+
+    def rest(self) -> None:
+        """Nothing is asked from now on."""
+        self._phase, self._message = Phase.NONE, None
+
+    # --- what comes ----------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        """Cut out what belongs to the answer."""
+        if not data:  # the reader has caught up
+            super().data_received(data)
+            return
+        while self._phase is Phase.HEAD and data:
+            data = self._take_head(data)
+        if not data:
+            return
+        if self._phase is Phase.SIZED:
+            left, self._left = self._left, max(0, self._left - len(data))
+            if not self._left:
+                self._phase = Phase.WHOLE
+            super().data_received(data[:left])
+            if len(data) > left:
+                self._too_much()
+        elif self._phase is Phase.OPEN:
+            self._left -= len(data)
+            if self._left < 0:
+                self._spoil("a body over its bound")
+                return
+            super().data_received(data)
+        else:
+            self._too_much()
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """A head was read. 1xx in front of the answer are skipped."""
+        self._message = data[0]
+        if not 100 <= data[0].code < 200:
+            super().feed_data(data, size)
+
+    def _take_head(self, data: bytes) -> bytes:
+        """One head, if it has come whole; what lies behind it."""
+        begun = len(self._head)
+        self._head += data
+        end = self._head.find(b"\r\n\r\n", max(0, begun - 3)) + 4
+        self._heads += (end if end > 3 else len(self._head)) - begun
+        if self._heads > HEAD_BYTES:
+            self._spoil("a head over its bound")
+            return b""
+        if end < 4:
+            return b""
+        head, rest, self._head = self._head[:end], self._head[end:], b""
+        super().data_received(head)
+        message, self._message = self._message, None
+        if self.exception() is not None:
+            return b""
+        if message is None or message.code == 101:
+            self._spoil("no answer in its head")
+        elif message.code >= 200:
+            self._frame(message)
+        return rest
+
+    def _frame(self, message: RawResponseMessage) -> None:
+        """How far the body reaches."""
+        sizes = message.headers.getall("Content-Length", [])
+        if len(sizes) > 1 or (sizes and "Transfer-Encoding" in message.headers):
+            self._spoil("two lengths")
+        elif sizes:
+            self._left = int(sizes[0])
+            self._phase = Phase.SIZED if self._left else Phase.WHOLE
+            if self._left > self._most:
+                self._spoil("a body over its bound")
+        elif message.code in _EOF_LINES:
+            self._phase = Phase.WHOLE
+        elif message.chunked or self._says_close(message):
+            # behind a body that ends by itself, surplus can't be told from it: no further request
+            self._phase, self._left = Phase.OPEN, 2 * self._most + HEAD_BYTES
+            self.force_close()
+        else:
+            self._spoil("a body without a length")
+
+    @staticmethod
+    def _says_close(message: RawResponseMessage) -> bool:
+        return message.version < HttpVersion11 or "close" in message.headers.get("Connection", "").lower()
+
+    def _too_much(self) -> None:
+        """Bytes that belong to no answer. One that is whole stays good."""
+        self.surplus = True
+        if self._phase is Phase.NONE:
+            self.abort()
+
+    def _spoil(self, reason: str) -> None:
+        """The answer can't be used, nor the connection."""
+        fault = aiohttp.ClientPayloadError(reason)
+        if self._payload is not None:
+            self._payload.set_exception(fault)
+        self.set_exception(fault)
+        self._phase, self.surplus = Phase.NONE, True
+        self.abort()
+
+
+class Pool:
+    """All connections to boxes, within a bound."""
+
+    def __init__(self, most: int, keep_s: float) -> None:
+        self.most, self.keep_s = most, keep_s
+        self._loop = asyncio.get_running_loop()
+        self._all: set[Line] = set()
+        self._opening = 0
+        self._idle: dict[Line, None] = {}  # longest idle first
+        self._by_address: dict[str, list[Line]] = {}
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._poll = select.poll()
+
+    def __len__(self) -> int:
+        return len(self._all) + self._opening
+
+    def take(self, address: str) -> Line | None:
+        """An idle connection that is fit for a request, the one used last."""
+        while lines := self._by_address.get(address):
+            line = lines[-1]
+            self._forget(line)
+            if self._quiet(line) and self._loop.time() < line.idle_since + self.keep_s:
+                return line
+            line.abort()
+        return None
+
+    def _quiet(self, line: Line) -> bool:
+        """Whether nothing has come that was not read yet.
+
+        Guards against a request on a connection whose close, or whose stray bytes, lie in the socket: the
+        loop looks there only in its next turn.
+        """
+        if line.transport is None or line.transport.is_closing():
+            return False
+        number = line.transport.get_extra_info("socket").fileno()
+        self._poll.register(number, select.POLLIN | select.POLLRDHUP)
+        try:
+            return not self._poll.poll(0)
+        finally:
+            self._poll.unregister(number)
+
+    async def open(self, address: str) -> Line | None:
+        """A new connection; None where the bound has no room for it."""
+        if len(self) >= self.most:
+            if not self._idle:
+                return None
+            self._close(next(iter(self._idle)))
+        host, _, port = address.rpartition(":")
+        self._opening += 1
+        try:
+            _, line = await self._loop.create_connection(
+                lambda: Line(self._loop, address, self._drop), host, int(port)
+            )
+        finally:
+            self._opening -= 1
+        if line.transport is None:
+            raise ConnectionResetError("the connection is gone")
+        self._all.add(line)
+        return line
+
+    def put(self, line: Line) -> None:
+        """Back after an exchange: kept if it is fit, else closed."""
+        if not line.fit or len(self) > self.most:
+            line.abort()
+            return
+        self.rest(line)
+
+    def rest(self, line: Line) -> None:
+        """Keep a connection on which nothing is asked."""
+        line.rest()
+        line.idle_since = self._loop.time()
+        self._idle[line] = None
+        self._by_address.setdefault(line.address, []).append(line)
+        if self._sweeper is None:
+            self._sweeper = self._loop.call_at(line.idle_since + self.keep_s, self._sweep)
+
+    def _forget(self, line: Line) -> None:
+        """No longer idle."""
+        del self._idle[line]
+        lines = self._by_address[line.address]
+        lines.remove(line)
+        if not lines:
+            del self._by_address[line.address]
+
+    def _close(self, line: Line) -> None:
+        self._forget(line)
+        line.abort()
+
+    def _drop(self, line: Line) -> None:
+        self._all.discard(line)
+        if line in self._idle:
+            self._forget(line)
+
+    def _sweep(self) -> None:
+        """Close what has been idle for too long."""
+        self._sweeper = None
+        while self._idle:
+            line = next(iter(self._idle))
+            if line.idle_since + self.keep_s > self._loop.time():
+                self._sweeper = self._loop.call_at(line.idle_since + self.keep_s, self._sweep)
+                return
+            self._close(line)
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        waits: list[Any] = [closed for line in self._all if (closed := line.closed) is not None]
+        for line in list(self._all):
+            line.abort()
+        await asyncio.gather(*waits, return_exceptions=True)
--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -3,119 +3,89 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
-from contextvars import ContextVar
 from dataclasses import dataclass
-from types import SimpleNamespace
-from typing import Any
 
 import aiohttp
-from aiohttp.client_reqrep import ClientRequest
-from aiohttp.connector import Connection
-from aiohttp.tracing import Trace
-from yarl import URL
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import StreamReader
 
 from harriertide import api
+from harriertide.net.lines import Line, Pool
 from harriertide.net.runtime import Attempt
 
 Body = bytes | AsyncIterator[bytes]
 KEEP_PART = 0.5  # of the node's idle time: a request that crosses its close would end as a reset
-HELD_MOST = 450  # connections to all nodes, well within 1,024 descriptors beside those of clients
+BODY_BYTES = 64 * 1024  # of an answer, where no more is asked for
 
 
-class NotWrittenError(Exception):
-    """The attempt ended before its first byte."""
+class BrokenError(Exception):
+    """An exchange ended without a whole answer."""
 
     def __init__(self, kind: api.OutcomeKind) -> None:
         super().__init__(kind)
         self.kind = kind
 
 
-@dataclass(slots=True)
-class _Course:
-    """How far an exchange has come."""
-
-    attempt: Attempt
-    limit: asyncio.Timeout
-    stop_at: float
-    connected: bool = False
-    written: bool = False
-
-
-_COURSE: ContextVar[_Course] = ContextVar("course")
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A node's whole answer."""
 
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
 
-class OnceConnector(aiohttp.TCPConnector):
-    """Hands out one connection for each exchange and asks the core once more before it does.
 
-    aiohttp's session by itself repeats GET, PUT and other idempotent methods when a kept connection
-    breaks. That would be a second copy that the core knows nothing of: the second connect of an
-    exchange is refused here, which ends the exchange as the break that it was.
-    """
+class Incoming:
+    """A node's answer, its head read and its body on the way. The line bounds how much may come."""
 
-    async def connect(
-        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
-    ) -> Connection:
-        course = _COURSE.get()
-        if course.connected:
-            raise NotWrittenError("reset" if course.written else "connect_failed")
-        course.connected = True
-        connection = await super().connect(req, traces, timeout)
-        kind = course.attempt.may_write()
-        if kind is not None:
-            connection.release()
-            raise NotWrittenError(kind)
-        course.limit.reschedule(course.stop_at)
-        return connection
+    __slots__ = ("status", "headers", "content")
 
+    def __init__(self, status: int, headers: Mapping[str, str], content: StreamReader) -> None:
+        self.status, self.headers, self.content = status, headers, content
 
-async def _headers_sent(session: aiohttp.ClientSession, context: SimpleNamespace, params: Any) -> None:
-    course = _COURSE.get()
-    course.written = course.written or context.trace_request_ctx == 0
+    async def read(self) -> bytes:
+        """The whole body."""
+        return await self.content.read()
 
+    @property
+    def content_length(self) -> int | None:
+        """As the head says."""
+        text = self.headers.get("Content-Length")
+        return int(text) if text is not None else None
 
-async def _chunk_sent(session: aiohttp.ClientSession, context: SimpleNamespace, params: Any) -> None:
-    context.trace_request_ctx -= len(params.chunk)
-    course = _COURSE.get()
-    course.written = course.written or context.trace_request_ctx <= 0
 
+def outcome(answer: Incoming | Reply) -> api.OutcomeKind:
+    """What a whole answer of a node means, by its status."""
+    if 200 <= answer.status < 300:
+        return "ok"
+    if answer.status in (503, 504) and answer.headers.get("X-Rejected") == "1":
+        return "full"
+    return "error"
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A node's whole answer."""
 
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
+def _head(method: str, target: str, headers: Mapping[str, str]) -> bytes:
+    """Request line and headers, with the bytes that came: parsers decode them just so."""
+    rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"{method} {target} HTTP/1.1\r\n{rows}\r\n".encode("utf-8", "surrogateescape")
 
 
 class NodeClient:
     """Exchanges with nodes. find: the address of a node, by its id."""
 
-    def __init__(self, find: Callable[[str], str | None], connect_us: int, idle_us: int) -> None:
-        self._find, self.connect_us = find, connect_us
-        trace = aiohttp.TraceConfig()
-        trace.on_request_headers_sent.append(_headers_sent)
-        trace.on_request_chunk_sent.append(_chunk_sent)
-        self._session = aiohttp.ClientSession(
-            connector=OnceConnector(
-                limit=HELD_MOST,
-                keepalive_timeout=KEEP_PART * idle_us / 1_000_000,
-                use_dns_cache=False,
-                force_close=False,
-            ),
-            timeout=aiohttp.ClientTimeout(total=None, connect=None, sock_connect=None, sock_read=None),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            trace_configs=[trace],
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-            trust_env=False,
-        )
+    def __init__(
+        self, find: Callable[[str], str | None], connect_us: int, idle_us: int, most: int = 450
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.pool = Pool(most, KEEP_PART * idle_us / 1_000_000)
+        self.connect_us = connect_us
+        self._find = find
 
     async def close(self) -> None:
         """Drop all connections."""
-        await self._session.close()
+        await self.pool.close()
 
     @asynccontextmanager
     async def open(
@@ -125,72 +95,93 @@
         target: str,
         headers: Mapping[str, str],
         body: Body = b"",
-        size: int = 0,
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Send the request; the answer as it comes. size: of a body that is streamed.
+        most: int = BODY_BYTES,
+    ) -> AsyncIterator[Incoming]:
+        """Send the request; the answer as it comes. most: bytes that its body may have.
 
         Raises BrokenError as PROTOCOL's table has it.
         """
         address = self._find(attempt.node)
         if address is None:
             raise BrokenError("full")
-        clock = attempt.runtime.clock
-        stop_at = clock.loop_time(attempt.stop_at_us)
-        connect_by = clock.loop_time(clock.now_us() + self.connect_us)
-        limit = asyncio.timeout_at(min(stop_at, connect_by))
-        course = _Course(attempt, limit, stop_at)
-        token = _COURSE.set(course)
-        response: aiohttp.ClientResponse | None = None
+        line: Line | None = None
+        asked = False
+        stream: asyncio.Task[None] | None = None
         try:
-            async with limit:
-                response = await self._session.request(
-                    method,
-                    # the target goes on as the bytes that came: no requoting
-                    URL(f"http://{address}{target}", encoded=True),
-                    headers=headers,
-                    data=body or None,
-                    allow_redirects=False,
-                    trace_request_ctx=len(body) if isinstance(body, bytes) else size,
-                )
-                yield response
+            async with asyncio.timeout_at(attempt.runtime.clock.loop_time(attempt.stop_at_us)) as limit:
+                first = body if isinstance(body, bytes) else await anext(body)
+                line = self.pool.take(address)
+                if line is None:  # not "or": a line without a message is an empty queue, and false
+                    line = await self._connect(address, attempt, limit)
+                kind = attempt.may_write()
+                if kind is not None:
+                    self.pool.rest(line)
+                    line = None
+                    raise BrokenError(kind)
+                line.ask(_head(method, target, {"Host": "service.internal", **headers}) + first, most)
+                asked = True
+                if not isinstance(body, bytes):
+                    stream = asyncio.get_running_loop().create_task(self._stream(line, body))
+                message, content = await line.read()
+                yield Incoming(message.code, message.headers, content)
         except TimeoutError:
-            # a box starts a request with its last byte: one that was not written out never ran
-            raise BrokenError("timeout" if course.written else "connect_failed") from None
-        except NotWrittenError as early:
-            raise BrokenError(early.kind) from None
-        except aiohttp.ClientError:
-            raise BrokenError("reset" if course.written else "connect_failed") from None
-        except OSError:
-            raise BrokenError("reset" if course.written else "connect_failed") from None
+            raise BrokenError(self._end("timeout", line, asked, stream)) from None
+        except (aiohttp.ClientError, HttpProcessingError, OSError):
+            raise BrokenError(self._end("reset", line, asked, stream)) from None
         finally:
-            _COURSE.reset(token)
-            if response is not None:
-                response.close()  # read to its end, the connection is kept; else the attempt ends with it
+            if stream is not None and not self._let_go(stream) and line is not None:
+                line.force_close()  # an early answer: the rest of the body would be taken for a request
+            if line is not None:
+                self.pool.put(line)
+
+    @staticmethod
+    def _end(
+        kind: api.OutcomeKind, line: Line | None, asked: bool, stream: asyncio.Task[None] | None
+    ) -> api.OutcomeKind:
+        """A box starts a request with its last byte: one that was not written out never ran."""
+        out = stream is None or (stream.done() and not stream.cancelled() and stream.exception() is None)
+        return kind if line is not None and asked and out and not line.writing_paused else "connect_failed"
+
+    @staticmethod
+    def _let_go(stream: asyncio.Task[None]) -> bool:
+        """Whether the body was written to its end; what is left of it is not."""
+        if not stream.done():
+            return not stream.cancel()
+        return stream.cancelled() or stream.exception() is None
+
+    async def _connect(self, address: str, attempt: Attempt, limit: asyncio.Timeout) -> Line:
+        """A new connection, within the time for one."""
+        clock = attempt.runtime.clock
+        stop_at = clock.loop_time(attempt.stop_at_us)
+        limit.reschedule(min(stop_at, clock.loop_time(clock.now_us() + self.connect_us)))
+        line = await self.pool.open(address)
+        if line is None:
+            # refused early: nothing is wrong with the box, so this must not count against its health
+            self.counts["no_room"] += 1
+            raise BrokenError("full")
+        self.counts["connected"] += 1
+        limit.reschedule(stop_at)
+        return line
+
+    async def _stream(self, line: Line, body: AsyncIterator[bytes]) -> None:
+        """The rest of a body that passes through."""
+        try:
+            async for chunk in body:
+                await line.more(chunk)
+            await line.drained()
+        except BaseException:
+            line.abort()  # with its last byte missing the box does not start it
+            raise
 
     async def exchange(
         self, attempt: Attempt, method: str, target: str, headers: Mapping[str, str], body: bytes
     ) -> tuple[api.OutcomeKind, Reply | None]:
         """One whole exchange with a bounded answer."""
+        if body or method != "GET":
+            headers = {**headers, "Content-Length": str(len(body))}
         try:
-            async with self.open(attempt, method, target, headers, body) as response:
-                answer = await response.read()
-                return outcome(response), Reply(response.status, response.headers, answer)
+            async with self.open(attempt, method, target, headers, body) as answer:
+                reply = Reply(answer.status, answer.headers, await answer.read())
+                return outcome(reply), reply
         except BrokenError as end:
             return end.kind, None
-
-
-class BrokenError(Exception):
-    """An exchange ended without a whole answer."""
-
-    def __init__(self, kind: api.OutcomeKind) -> None:
-        super().__init__(kind)
-        self.kind = kind
-
-
-def outcome(response: aiohttp.ClientResponse) -> api.OutcomeKind:
-    """What a whole answer of a node means, by its status."""
-    if 200 <= response.status < 300:
-        return "ok"
-    if response.status in (503, 504) and response.headers.get("X-Rejected") == "1":
-        return "full"
-    return "error"
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -25,6 +25,7 @@
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory, Watch
 from harriertide.net.front import Front, FrontServer, server
+from harriertide.net.limits import Limits, read_limits
 from harriertide.net.nodes import NodeClient
 from harriertide.net.peers import Peers, address
 from harriertide.net.runtime import Runtime
@@ -55,6 +56,7 @@
     known: dict[str, Any]
     writes: tuple[bool, ...] = ()
     raw_settings: dict[str, Any] = field(default_factory=dict)
+    limits: Limits = field(default_factory=lambda: read_limits({}))
 
 
 _LOCAL = Names({}, {}, {}, connect_us=250_000, idle_us=15_000_000)  # without a platform
@@ -98,6 +100,7 @@
             known=raw.get("known") or {"seq": 0, "whole": True, "hosts": []},
             writes=tuple(bool(write) for write in settings["domain"].get("writes") or ()),
             raw_settings=settings,
+            limits=read_limits(raw.get("limits") or {}),
         )
     except KeyError as gap:
         raise BadConfigError(f"LB_CONFIG: {gap.args[0]} is missing or unknown") from None
@@ -123,7 +126,8 @@
         self.core = Reducer(settings, seed)
         self.runtime = Runtime(self.core, Clock(loop))
         self.directory = Directory(names.zones)
-        self.client = NodeClient(self._find, names.connect_us, names.idle_us)
+        limits = config.limits if config is not None else read_limits({})
+        self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits.boxes)
         self.front = Front(self.runtime, self.client, names)
         self.watch: Watch | None = None
         self.peers: Peers | None = None
@@ -162,7 +166,7 @@
         self.config = fresh
         names = fresh.names
         self.front.names, self.directory.zones = names, names.zones
-        self.client.connect_us = names.connect_us
+        self.client.connect_us, self.client.pool.most = names.connect_us, fresh.limits.boxes
         self.runtime.post(ev.Resettled(fresh.settings))
         if self.objects is not None:
             self.objects.replan(names.plans)
@@ -174,7 +178,7 @@
 
     def counters(self) -> str:
         """All counts as one line."""
-        parts = {"core": self.core.counts, "front": self.front.counts}
+        parts = {"core": self.core.counts, "front": self.front.counts, "boxes": self.client.counts}
         if self.watch is not None and self.peers is not None:
             parts |= {"watch": self.watch.counts, "peers": self.peers.counts}
         if self.objects is not None:
--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -11,7 +11,7 @@
 
 from harriertide import api
 from harriertide.core import events as ev
-from harriertide.net.nodes import Body, BrokenError, NodeClient, outcome
+from harriertide.net.nodes import BODY_BYTES, Body, BrokenError, Incoming, NodeClient, outcome
 from harriertide.net.runtime import Attempt, Ending
 
 CHUNK_BYTES = 64 * 1024
@@ -152,9 +152,7 @@
         self._begun(attempt.node)
         headers = {**self.headers(attempt), "Content-Length": str(source.size)}
         try:
-            async with self._client.open(
-                attempt, "PUT", self._target, headers, source.body(), source.size
-            ) as response:
+            async with self._client.open(attempt, "PUT", self._target, headers, source.body()) as response:
                 await response.read()
                 kind = outcome(response)
                 if kind == "ok":
@@ -189,7 +187,8 @@
             headers["If-Match"] = self._tag
         writing = False
         try:
-            async with self._client.open(attempt, "GET", self._target, headers) as response:
+            most = max(BODY_BYTES, self._last + 1 - self._next)
+            async with self._client.open(attempt, "GET", self._target, headers, most=most) as response:
                 if response.status in (404, 412, 416):
                     self.missing = True  # asking again would not bring it back
                     return "moot", None
@@ -215,7 +214,7 @@
             slow_client = writing and end.kind == "timeout"
             return ("cancelled" if slow_client else end.kind), None
 
-    def _fits(self, response: aiohttp.ClientResponse) -> bool:
+    def _fits(self, response: Incoming) -> bool:
         """The box answers just the stretch that was asked for."""
         if response.status == 206:
             return response.headers.get("Content-Range", "").startswith(f"bytes {self._next}-{self._last}/")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,13 +4,15 @@
 
     c send METHOD TARGET [Header=Value ...] [@SHARD] [body=TEXT | body=N*TEXT]
     b1 expect METHOD TARGET-PATTERN [Header=PATTERN ...] [body=TEXT]   (or: b1 expect nothing)
-    b1 send STATUS [Header=Value ...] [body=TEXT]
+    b1 send STATUS [Header=Value ...] [body=TEXT]                      (or: b1 send bytes TEXT, with escapes)
+    b1 made N                                                          it was connected to so often
     c expect STATUS [Header=PATTERN ...] [body=PATTERN]                (or: c expect eof | c expect short)
     c send raw body=TEXT                                               more of a body
     c close / b1 close                                                 the connection last used
     s eof                                                              it was closed by the daemon
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
+    d bound N                        connections to boxes at most
     d send config PATH=JSON ...   SIGHUP's course, with the configuration file changed there
     d expect COUNTER=VALUE ...                                         of the core
 
@@ -113,6 +115,8 @@
         elif actor == "d" and verb == "expect":
             for name, _, value in (word.partition("=") for word in words):
                 assert self.daemon.core.counts[name] == int(value), f"{name}: {self.daemon.core.counts}"
+        elif actor == "d" and verb == "bound":
+            self.daemon.client.pool.most = int(words[0])
         elif actor == "d" and verb == "send":
             self.reload([word.split("=", 1) for word in words[1:]])
         elif actor == "d":
@@ -121,6 +125,9 @@
             assert self.operate is not None
             await self.operate(words)
         elif actor in self.stands:
+            if verb == "made":
+                assert self.stands[actor].made == int(words[0]), f"made {self.stands[actor].made}"
+                return
             steps = {"send": self._answer, "expect": self._asked, "close": self._hang_up, "eof": self._ended}
             await steps[verb](actor, words)
         else:
@@ -180,6 +187,9 @@
     async def _answer(self, actor: str, words: list[str]) -> None:
         line = self.stands[actor].last
         assert line is not None
+        if words[0] == "bytes":
+            line.writer.write(words[1].encode().decode("unicode_escape").encode("latin-1"))
+            return
         if words[0] in ("list", "raw"):
             text = self._page(words[1:]) if words[0] == "list" else words[1] + "\n"
             for part in filter(None, (text[: len(text) // 2], text[len(text) // 2 :])):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 from typing import Any
 
-import aiohttp
 import pytest
 
 from harriertide.config import model
 from harriertide.net import discovery, front
+from harriertide.net.lines import Line, Pool
 from harriertide.net.peers import address
 from harriertide.net.process import Config, Daemon
 from harriertide.objects.catalogue import Catalogue
@@ -227,6 +227,29 @@
         c expect eof""",
 }
 
+GOOD_ANSWER = r"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata"
+CHUNKED = r"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SURPLUS = {
+    "a second copy right behind": GOOD_ANSWER + GOOD_ANSWER,
+    "noise right behind": GOOD_ANSWER + r"\x00\xffnoise\r\n\r\n",
+    "a part of a head right behind": GOOD_ANSWER + "HTTP/1.1 200 OK",
+    "noise behind chunks": CHUNKED + r"4\r\ndata\r\n0\r\n\r\n\x00\xff",
+    "the word that it closes": r"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndata",
+}
+SPOILT = {
+    "noise": r"\x01\x02\r\n\r\n",
+    "a status that is none": r"HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndata",
+    "a negative length": r"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\ndata",
+    "two lengths": r"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\ndata",
+    "length and chunks": CHUNKED.replace("Tr", r"Content-Length: 4\r\nTr") + r"0\r\n\r\n",
+    "3 GB announced": r"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndata",
+    "no length on a kept connection": r"HTTP/1.1 200 OK\r\n\r\ndata",
+    "chunks without end": CHUNKED + r"ffffff\r\n" + "x" * 200_000,
+    "a head without end": r"HTTP/1.1 200 OK\r\n" + r"X-Pad: pppppppp\r\n" * 1200,
+    "1xx without end": r"HTTP/1.1 100 Go on\r\n\r\n" * 1200,
+    "another protocol": r"HTTP/1.1 101 Switch\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n",
+}
+
 RELOADS = {
     "a reload moves the watch: the new address tells its whole list before the old is let go": f"""
         {WATCH}
@@ -627,6 +650,96 @@
     asyncio.run(play(script, objects=False, folder=tmp_path))
 
 
+@pytest.mark.parametrize("answer", SURPLUS.values(), ids=SURPLUS.keys())
+def test_a_good_answer_with_surplus_is_served_and_its_connection_no_more_used(
+    answer: str, tmp_path: Path
+) -> None:
+    """Guards against a stale answer, or what is left of one, reaching the next client."""
+    script = f"""
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send bytes '{answer}'
+        c expect 200 body=data
+        c2 send GET /api @0
+        b1 expect GET /api
+        b1 made 2
+        b1 send 200 body=own
+        c2 expect 200 body=own"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+@pytest.mark.parametrize("stray", [GOOD_ANSWER, "x", r"\xff\r\n\r\n"])
+@pytest.mark.parametrize("wait", ["", "wait 0.05"], ids=["at once", "later"])
+def test_what_comes_while_a_connection_is_idle_never_reaches_a_client(
+    stray: str, wait: str, tmp_path: Path
+) -> None:
+    script = f"""
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        b1 send bytes '{stray}'
+        {wait}
+        c2 send GET /api @0
+        b1 expect GET /api
+        b1 send 200 body=own
+        c2 expect 200 body=own
+        b1 made 2"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+@pytest.mark.parametrize("answer", SPOILT.values(), ids=SPOILT.keys())
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(answer: str, tmp_path: Path) -> None:
+    """Guards against answers without bounds, and against passing on what no box made."""
+    script = f"""
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send bytes '{answer}'
+        b1 expect GET /api
+        b1 made 2
+        {OK}
+        c expect 200 body=data
+        d expect outcome_reset=1 outcome_ok=1"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_1xx_in_front_and_a_load_report_that_cannot_be_read_leave_an_answer_good(tmp_path: Path) -> None:
+    script = r"""
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send bytes 'HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 '
+        b1 send bytes '200 OK\r\nX-Load-Report: \xff=\x80,,7\r\nContent-Length: 4\r\n\r\nda'
+        wait 0.02
+        b1 send bytes ta
+        c expect 200 body=data
+        c send GET /api @0
+        b1 expect GET /api
+        b1 made 1
+        b1 send 200
+        c expect 200"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_connections_to_boxes_stay_within_their_bound_and_idle_ones_make_room(tmp_path: Path) -> None:
+    """Guards against the pool using up the descriptors: past its bound a request is turned away early."""
+    script = f"""
+        d bound 1
+        c send GET /api @0
+        b1 expect GET /api
+        c2 send GET /api @1
+        c2 expect 503
+        b2 made 0
+        {OK}
+        c expect 200
+        c2 send GET /api @1
+        b2 expect GET /api
+        b2 send 200
+        c2 expect 200
+        b1 eof
+        d expect outcome_connect_failed=0"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
 @pytest.mark.parametrize("script", RELOADS.values(), ids=RELOADS.keys())
 def test_reload(script: str, tmp_path: Path) -> None:
     asyncio.run(play(script, objects=False, folder=tmp_path))
@@ -656,14 +769,14 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Decided before the drain was told, written after it: what the look at the moment of writing is for."""
-    connect = aiohttp.TCPConnector.connect
+    connect = Pool.open
 
-    async def slow(*given: Any, **named: Any) -> Any:
-        connection = await connect(*given, **named)
+    async def slow(pool: Pool, address: str) -> Line | None:
+        line = await connect(pool, address)
         await asyncio.sleep(0.15)
-        return connection
+        return line
 
-    monkeypatch.setattr(aiohttp.TCPConnector, "connect", slow)
+    monkeypatch.setattr(Pool, "open", slow)
     script = f"""{WATCH}
         wait 0.3
         c send GET /api @0
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,6 +17,8 @@
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory
 from harriertide.net.front import MalformedError, read_arrival
+from harriertide.net.limits import OWN, Limits, read_limits
+from harriertide.net.lines import Pool
 from harriertide.net.nodes import KEEP_PART, NodeClient
 from harriertide.net.peers import Peers
 from harriertide.objects import s3
@@ -99,15 +101,41 @@
 
 def test_idle_connections_are_dropped_before_the_node_would() -> None:
     async def main() -> None:
-        client = NodeClient(lambda node: None, 250_000, 10_000_000)
-        connector = client._session.connector
-        assert connector is not None and connector._keepalive_timeout == KEEP_PART * 10 < 10
-        assert connector.limit > 100
-        await client.close()
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        pool = Pool(2, 0.05)
+        assert NodeClient(lambda node: None, 250_000, 10_000_000).pool.keep_s == KEEP_PART * 10 < 10
+        line = await pool.open(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        assert line is not None and len(pool) == 1
+        pool.rest(line)
+        await asyncio.sleep(0.1)
+        assert len(pool) == 0 and not line.is_connected()
+        await pool.close()
+        server.close()
 
     asyncio.run(main())
 
 
+def test_the_stated_descriptors_are_shared_out_with_some_left_over() -> None:
+    for sockets in (64, 256, 384, 1024):
+        limits = Limits.share(sockets)
+        assert limits.clients + limits.boxes + OWN < sockets or sockets == 64
+        # clients hold up to a third of them for requests
+        assert sockets == 64 or limits.clients >= sockets / 3 and limits.boxes >= sockets / 4
+    assert read_limits({"sockets": 300}) == Limits.share(300)
+    with pytest.raises(ValueError, match="limits.sockets"):
+        read_limits({"sockets": 10})
+
+
+def test_the_address_of_a_node_that_is_gone_goes_too() -> None:
+    """Guards against growth where nodes are replaced all day."""
+    directory = Directory({})
+    for number in range(50):
+        host = {"host": f"h{number}", "dial": f"127.0.0.1:{number + 1}", "block": 0, "health": "up"}
+        directory.read({"seq": number, "hosts": [host]})
+        directory.read({"seq": number, "hosts": [{**host, "health": "removed"}]})
+    assert directory.known() == 0
+
+
 def test_the_module_books_cold_sends_in_a_window_longer_by_what_writing_may_take() -> None:
     seen: list[int] = []
 
@@ -126,7 +154,7 @@
     first, second = directory.read(page).nodes
     assert (first.started_us, first.shard, first.state) == (1_700_000_000, 3, "live")
     assert (second.started_us, second.state) == (0, "gone")
-    assert directory.seq == 5 and directory.find("h") == "127.0.0.1:1"
+    assert directory.seq == 5 and directory.find("h") == "127.0.0.1:1" and directory.find("g") is None
 
 
 def test_the_log_is_bounded_and_says_what_it_left_out(capsys: pytest.CaptureFixture[str]) -> None:
