Bound clients' connections in number and time, and take their requests without a task each

Lines at fault: front.KEPT_MOST (480, whatever the limit), no end for connections that are silent, idle or midway in a request; listeners took 512 connections in one turn. Ruled out: descriptors of the node side (at most 71).

Now: net/clients.py keeps every connection of every listener under its state (silent, reading, busy, idle, parting) within the configuration's limits, sheds what is missed least, never one with bytes unread; 2.4 s from accept for a whole request; a listener takes four connections a turn. net/fields.py reads the deciding fields from raw headers: doubled ones, length with chunks, figures that can't be: 400 and close. The platform's connections answer in the turn of the decision: aiohttp's server and parser, without its handler task and response objects.

Tests: scenarios for each kind, failing without the change.

--- /dev/null
+++ b/harriertide/net/clients.py
@@ -0,0 +1,241 @@
+"""Connections of clients, of all listeners: bounds on how many there are and on how long one may hold one.
+
+A connection is silent (nothing has come yet), reading (a part of a request has come), busy (a request is
+open on it), idle (kept after an answer) or parting (answered for good, about to be closed).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, Literal
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+# A request must have come whole this long after its connection was accepted, later ones after their first
+# byte: guards against connections that say nothing, and heads and bodies that never end.
+READ_S = 2.4
+IDLE_S = 15.0  # kept after an answer
+SPARE_S = 2.0  # kept after an answer, while connections are short
+PART_S = 0.3  # for the last answer to be read: closing on bytes unread would reset it away
+STUCK_S = 10.0  # for an answer that its client does not read
+SWEEP_S = 0.1
+SHORT = 0.3  # of the bound: from here on connections are short; clients may hold a third of all descriptors
+LINGER_S = 1.0  # an unread body is read on for so long, on fronts that take large ones
+ACCEPTS = 4  # connections taken in one turn of the loop; more wait in the system's queue
+BACKLOG = 512
+
+State = Literal["silent", "reading", "busy", "idle", "parting"]
+
+
+class ClientLine(RequestHandler):
+    """aiohttp's handler of one connection, which stands in its room under what it is doing."""
+
+    __slots__ = ("room", "state", "since")
+
+    def __init__(self, server: FrontServer, **named: Any) -> None:
+        super().__init__(server, loop=asyncio.get_running_loop(), **named)
+        self.room = server.room
+        self.state: State = "silent"
+        self.since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.room.admit(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.room.forget(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self.state in ("silent", "idle"):
+            self.room.move(self, "reading")
+        super().data_received(data)
+
+    def unsent(self) -> bool:
+        """Whether some of an answer is still to be written."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def drop(self) -> None:
+        """End it now."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+
+class Room:
+    """All connections of clients, each under its state, the longest in that state first."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.counts: Counter[str] = Counter()
+        self._loop = asyncio.get_running_loop()
+        self._lines: dict[State, dict[ClientLine, None]] = {
+            "silent": {}, "reading": {}, "busy": {}, "idle": {}, "parting": {},
+        }  # fmt: skip
+        self._poll = select.poll()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        return sum(map(len, self._lines.values()))
+
+    def admit(self, line: ClientLine) -> None:
+        """A new connection; past the bound one that is held for nothing makes room, or it goes itself."""
+        self.counts["accepted"] += 1
+        full = len(self) >= self.most
+        line.since = self._loop.time()
+        self._lines["silent"][line] = None
+        if full and not self._make_room():
+            self.counts["turned_away"] += 1
+            line.drop()
+        if self._timer is None:
+            self._timer = self._loop.call_at(line.since + SWEEP_S, self._sweep)
+
+    def forget(self, line: ClientLine) -> None:
+        """It is gone."""
+        self._lines[line.state].pop(line, None)
+
+    def move(self, line: ClientLine, state: State) -> None:
+        """Another state. What is read first on a connection counts from when it was accepted."""
+        if self._lines[line.state].pop(line, line) is line:
+            return  # gone
+        if (line.state, state) != ("silent", "reading"):
+            line.since = self._loop.time()
+        line.state = state
+        self._lines[state][line] = None
+
+    # --- closing -------------------------------------------------------------------------------
+
+    def _quiet(self, line: ClientLine) -> bool:
+        """Whether all that has come was read.
+
+        Guards against closing on a request that lies in the socket, which its client would count as lost.
+        """
+        if line.transport is None or line.transport.is_closing():
+            return False
+        number = line.transport.get_extra_info("socket").fileno()
+        self._poll.register(number, select.POLLIN)
+        try:
+            return not self._poll.poll(0)
+        finally:
+            self._poll.unregister(number)
+
+    def _make_room(self) -> bool:
+        """Close the connection that is missed least."""
+        ways: tuple[tuple[State, float], ...] = (
+            ("parting", 0.0), ("silent", 0.25), ("idle", SPARE_S), ("silent", 0.02), ("idle", 0.0),
+            ("reading", 0.5),
+        )  # fmt: skip
+        return any(self._shed(state, age, 1) for state, age in ways)
+
+    def _shed(self, state: State, age_s: float, most: int) -> int:
+        """Close up to so many that have been in a state for so long."""
+        due, shed = self._loop.time() - age_s, 0
+        for line in list(self._lines[state]) if self._lines[state] else ():
+            if shed >= most:
+                break
+            if line.since > due or (state in ("silent", "idle") and not self._quiet(line)):
+                continue
+            if line.unsent() and self._loop.time() < line.since + STUCK_S:
+                continue
+            self.counts[f"shed_{state}"] += 1
+            self._lines[state].pop(line)
+            line.drop()
+            shed += 1
+        return shed
+
+    def _sweep(self) -> None:
+        """Close what is over its time."""
+        self._timer = None
+        count = len(self)
+        if not count:
+            return
+        over: tuple[tuple[State, float], ...] = (
+            ("silent", READ_S), ("reading", READ_S), ("parting", PART_S),
+        )  # fmt: skip
+        for state, age_s in over:
+            self._shed(state, age_s, count)
+        self._shed("idle", SPARE_S if count > SHORT * self.most else IDLE_S, count)
+        self._timer = self._loop.call_at(self._loop.time() + SWEEP_S, self._sweep)
+
+    def close_idle(self) -> None:
+        """Close those on which nothing is asked, and nothing is about to be."""
+        both: tuple[State, State] = ("silent", "idle")
+        for state in both:
+            self._shed(state, 0.0, len(self))
+
+    def close(self) -> None:
+        """Close all, and end the watch over them."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for lines in self._lines.values():
+            for line in list(lines):
+                line.drop()
+
+
+class FrontServer(web.Server):
+    """aiohttp's low-level server, whose connections stand in a room."""
+
+    def __init__(
+        self, room: Room, line: type[ClientLine], handle: Callable[..., Any], **named: Any
+    ) -> None:
+        super().__init__(handle, **named)
+        self.room, self._line = room, line
+
+    def __call__(self) -> ClientLine:
+        return self._line(self, **self._kwargs)
+
+
+def server(
+    room: Room, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], body_bytes: int = 65536
+) -> FrontServer:
+    """A server around a handler; a request whose client leaves is cancelled."""
+    loop = asyncio.get_running_loop()
+
+    def make(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
+        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=body_bytes)
+
+    async def tracked(request: web.BaseRequest) -> web.StreamResponse:
+        line = request.protocol
+        assert isinstance(line, ClientLine)
+        room.move(line, "busy")
+        try:
+            return await handle(request)
+        finally:
+            room.move(line, "idle")
+
+    return FrontServer(
+        room,
+        ClientLine,
+        tracked,
+        request_factory=make,
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        lingering_time=LINGER_S,
+        max_line_size=16_384,
+    )
+
+
+async def listen(at: tuple[str, int], front: FrontServer) -> asyncio.Server:
+    """A listener that takes a few connections in a turn of the loop, and leaves many in the queue.
+
+    Guards against a crowd taking all descriptors before the first of them can be shed.
+    """
+    loop = asyncio.get_running_loop()
+    door = socket.socket(socket.AF_INET6 if ":" in at[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        door.bind(at)
+        listener = await loop.create_server(front, sock=door, backlog=ACCEPTS)
+    except BaseException:
+        door.close()
+        raise
+    door.listen(BACKLOG)
+    return listener
--- a/harriertide/net/front.py
+++ b/harriertide/net/front.py
@@ -1,228 +1,250 @@
-"""The platform's front: reads the fields that the decisions need; the rest passes as it came."""
+"""The platform's front: reads the fields that the decisions need; the rest passes as it came.
+
+Its connections are aiohttp's, but each request is taken in the same turn of the loop in which its last byte
+was read, and answered in the one in which the core decides, with no task of its own.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Mapping
-from math import isfinite
+from email.utils import formatdate
 from typing import Any
 
-from aiohttp import web
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
 
-from harriertide import api
 from harriertide.core import events as ev
+from harriertide.net.clients import ClientLine, FrontServer, Room
+from harriertide.net.fields import Fields, MalformedError, read_arrival, read_fields
 from harriertide.net.nodes import NodeClient, Reply
 from harriertide.net.runtime import Attempt, Ending, Runtime
 from harriertide.settings import Names
 
 BODY_BYTES = 64 * 1024
-# Client connections beyond which an answer also closes its connection: guards against clients' kept
-# connections using up the 1,024 descriptors that those to boxes come from too.
-KEPT_MOST = 480
-# A body that is refused unread is read on for so long: closing on unread bytes resets the connection, and
-# the client might lose the answer that says why.
-LINGER_S = 1.0
 READY, SERVICE = "/health/ready", "/api"
-# The client counts from when it sent; the broker reads a little later. Kept to its end for that.
-SENT_BEFORE_US = 3_000
-_HEX = frozenset("0123456789abcdefABCDEF")
-
-
-class MalformedError(Exception):
-    """A request that breaks the protocol, in plain words."""
-
-
-def _hex16(text: str, field: str) -> str:
-    if len(text) != 16 or not _HEX.issuperset(text):
-        raise MalformedError(f"{field} must be 16 hex digits")
-    return text
-
-
-def _whole(text: str, field: str, least: int) -> int:
-    digits = text[1:] if text[:1] == "-" else text
-    if not (digits.isascii() and digits.isdigit()) or len(digits) > 12 or int(text) < least:
-        raise MalformedError(f"{field} must be a whole number of at least {least}")
-    return int(text)
-
-
-def _number(text: str, field: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = 0.0
-    if not isfinite(value) or value <= 0:
-        raise MalformedError(f"{field} must be a number above 0")
-    return value
-
-
-def read_arrival(
-    method: str, target: str, headers: Mapping[str, str], now_us: int, names: Names
-) -> api.Arrival:
-    """The fields that the decisions need."""
-    if method not in ("GET", "PUT"):
-        raise MalformedError("the method must be GET or PUT")
-    request = headers.get("X-Call-Id", "")
-    if not request or len(request) > 200:
-        raise MalformedError("X-Call-Id is missing or too long")
-    extent: dict[str, str] = {}
-    for part in headers.get("X-Extent", "").split(","):
-        name, _, value = part.strip().partition("=")
-        extent[name] = value
-    kind = names.classes.get(headers.get("X-Call-Class", ""))
-    plan = names.plans.get(headers.get("X-Storage-Class", ""))
-    if kind is None:
-        raise MalformedError("X-Call-Class is missing or unknown")
-    if plan is None:
-        raise MalformedError("X-Storage-Class is missing or unknown")
-    budget_ms = _whole(headers.get("X-Budget-Ms", ""), "X-Budget-Ms", 1)
-    query = target.partition("?")[2].partition("#")[0]
-    keys = [part[4:] for part in query.split("&") if part.startswith("key=")]
-    return api.Arrival(
-        request=request,
-        request_class=kind,
-        plan=plan,
-        volume=_hex16(extent.get("volume", ""), "X-Extent: volume"),
-        shard=_whole(extent.get("shard", ""), "X-Extent: shard", -1),
-        give_up_us=now_us + budget_ms * 1000 - SENT_BEFORE_US,
-        units=_number(extent.get("units", ""), "X-Extent: units"),
-        key=_hex16(keys[0], "key") if keys else "",
-        hosts=_whole(extent.get("hosts", "1"), "X-Extent: hosts", 1),
-        repeated=headers.get("X-Again") == "1",
-    )
+_REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large", 502: "Bad Gateway",
+    503: "Service Unavailable",
+}  # fmt: skip
 
 
 class PlatformJob:
     """One request of the platform on its way."""
 
-    __slots__ = ("_client", "_method", "_target", "_id", "_type", "_body", "final")
+    __slots__ = ("_client", "_line", "_method", "_target", "_headers", "_body")
 
-    def __init__(self, client: NodeClient, request: web.BaseRequest, body: bytes) -> None:
-        self._client, self._body = client, body
-        self._method, self._target = request.method, request.raw_path
-        self._id = request.headers["X-Call-Id"]
-        self._type = request.headers.get("Content-Type")
-        self.final: asyncio.Future[ev.Answer] = asyncio.get_running_loop().create_future()
+    def __init__(
+        self, client: NodeClient, line: PlatformLine, message: RawRequestMessage, body: bytes
+    ) -> None:
+        self._client, self._line, self._body = client, line, body
+        self._method, self._target = message.method, message.path
+        self._headers = {"X-Call-Id": line.request}
+        kind = line.fields.get(b"content-type")
+        if kind is not None:
+            self._headers["Content-Type"] = kind.decode("utf-8", "surrogateescape")
 
     async def attempt(self, attempt: Attempt) -> Ending:
         """Pass the request on as it came, with the time that this broker will wait."""
         wait_ms = max(1, (attempt.stop_at_us - attempt.runtime.clock.now_us()) // 1000)
-        headers = {"Host": "service.internal", "X-Call-Id": self._id, "X-Budget-Ms": str(wait_ms)}
-        if self._type is not None:
-            headers["Content-Type"] = self._type
+        headers = {**self._headers, "X-Budget-Ms": str(wait_ms)}
         return await self._client.exchange(attempt, self._method, self._target, headers, self._body)
 
     def answer(self, answer: ev.Answer) -> None:
-        """Hand the final answer to the connection that waits for it."""
-        if not self.final.done():
-            self.final.set_result(answer)
-
-
-def plain(status: int, text: str) -> web.Response:
-    """A short answer of the broker itself."""
-    return web.Response(status=status, text=text + "\n")
-
-
-class Front:
-    """Handles requests of the platform's protocol."""
-
-    def __init__(self, runtime: Runtime, client: NodeClient, names: Names) -> None:
-        self.counts: Counter[str] = Counter()
-        self.ready = True
-        self.kept: Callable[[], int] = lambda: 0  # client connections now
-        self._runtime, self._client, self.names = runtime, client, names
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """One request, one answer."""
-        response = await self._serve(request)
-        self.counts[f"answers_{response.status}"] += 1
-        if not self.ready or self.kept() > KEPT_MOST:
-            response.force_close()
-        return response
-
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        now_us = self._runtime.clock.now_us()
-        path = request.raw_path.partition("?")[0]
-        if path == READY:
-            return plain(200, "ready") if self.ready else plain(503, "stopping")
-        if path != SERVICE:
-            return plain(404, "no such route")
+        """Write the final answer to the connection that waits for it."""
+        if answer.kind == "served" and isinstance(answer.reply, Reply):
+            reply = answer.reply
+            kind = reply.headers.get("Content-Type", "application/octet-stream")
+            self._line.respond(200, reply.body, f"Content-Type: {kind}\r\n")
+        elif answer.kind == "refused":
+            wait = f"Retry-After: {answer.retry_after_us / 1e6:.3f}\r\n" if answer.retry_after_us > 0 else ""
+            self._line.respond(503, b"refused: trying again is harmless\n", wait)
+        else:
+            self._line.respond(502, b"failed\n")
+
+
+class PlatformLine(ClientLine):
+    """One connection of a client of the platform: one request at a time."""
+
+    __slots__ = ("_front", "_body", "_closing", "_message", "request", "fields")
+
+    def __init__(self, server: PlatformServer, **named: Any) -> None:
+        super().__init__(server, max_line_size=16_384, auto_decompress=False, **named)
+        self._front = server.front
+        self._message: RawRequestMessage | None = None  # read, its body or its answer on the way
+        self._body: StreamReader | None = None
+        self._closing = False
+        self.request = ""  # its id while the core has it
+        self.fields: Fields = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        BaseProtocol.connection_made(self, transport)  # and none of the handler's task and timer
+        assert self._manager is not None and isinstance(transport, asyncio.Transport)
+        self._manager.connection_made(self, transport)
+        self.room.admit(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if self.request:
+            self._front.left(self)
+        super().connection_lost(exc)
+
+    # --- what comes ----------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        """Take a request as soon as it is whole.
+
+        Clients send one at a time. One that does not is answered the first, and closed: what it sent ahead is
+        not read, so that it costs the others nothing.
+        """
+        if not data:  # the reader of a body has caught up; none is longer than what is read ahead
+            return
+        self._closing = self._closing or self.state == "busy"
+        if self._closing or self._force_close:
+            return
+        if self.state != "reading":
+            self.room.move(self, "reading")
+        assert self._parser is not None
         try:
-            body = await request.read() if request.body_exists else b""
-        except web.HTTPRequestEntityTooLarge:
-            response = plain(413, "the body is over 64 KiB")
-            response.force_close()
-            return response
+            messages, upgraded, _ = self._parser.feed_data(data)
+        except (HttpProcessingError, ValueError):
+            self.refuse(400, "the request can't be read")
+            return
+        if upgraded:
+            self.refuse(400, "no other protocol is spoken here")
+            return
+        if messages:
+            self._closing = len(messages) > 1
+            self._begin(*messages[0])
+        if self._body is not None:
+            self._look_at_body(self._body)
+
+    def _begin(self, message: RawRequestMessage, body: StreamReader) -> None:
+        """A head has come."""
+        self._message = message
         try:
-            arrival = read_arrival(request.method, request.raw_path, request.headers, now_us, self.names)
+            self.fields = read_fields(message.raw_headers)
         except MalformedError as reason:
-            return plain(400, str(reason))
-        job = PlatformJob(self._client, request, body)
-        if not self._runtime.submit(arrival, job):
-            return plain(400, "X-Call-Id is in use")
+            self.refuse(400, str(reason))
+            return
+        size = self.fields.get(b"content-length", b"0")
+        if len(size) > 9 or not size.isdigit() or int(size) > BODY_BYTES:
+            self.refuse(413, "the body is over 64 KiB")  # unread
+            return
+        if self.fields.get(b"expect", b"").lower() == b"100-continue" and not body.is_eof():
+            assert self.transport is not None
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._body = body
+
+    def _look_at_body(self, body: StreamReader) -> None:
+        if body.exception() is not None:
+            self.refuse(400, "the body can't be read")
+        elif body.total_bytes > BODY_BYTES:
+            self.refuse(413, "the body is over 64 KiB")
+        elif body.is_eof():
+            message, self._body = self._message, None
+            assert message is not None and self._parser is not None
+            self._parser.message_consumed()
+            self.room.move(self, "busy")
+            self._front.take(self, message, body.read_nowait(-1))
+
+    # --- what goes -----------------------------------------------------------------------------
+
+    def respond(self, status: int, body: bytes, fields: str = "") -> None:
+        """The one answer to the request that was read."""
+        message, self._message, self.request = self._message, None, ""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self._front.counts[f"answers_{status}"] += 1
+        closes = self._closing or not self._front.ready or message is None or message.should_close
+        if closes:
+            fields += "Connection: close\r\n"
+        head = (
+            f"HTTP/1.1 {status} {_REASONS[status]}\r\n{fields}Date: {self._front.date()}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        shown = b"" if message is not None and message.method == "HEAD" else body
+        transport.write(head.encode("utf-8", "surrogateescape") + shown)
+        if closes:
+            self.part()
+        else:
+            self.room.move(self, "idle")
+
+    def refuse(self, status: int, reason: str) -> None:
+        """An answer to what can't be served, the last one on this connection."""
+        self._closing, self._body = True, None
+        self.respond(status, f"{reason}\n".encode())
+
+    def part(self) -> None:
+        """Close once the answer was read. What still comes is not even taken from the system."""
+        self._closing = True
+        assert self.transport is not None
+        self.room.move(self, "parting")
         try:
-            return self._respond(await job.final)
-        except asyncio.CancelledError:
-            self._runtime.left(arrival.request)  # the client closed its connection
-            raise
-
-    @staticmethod
-    def _respond(answer: ev.Answer) -> web.Response:
-        if answer.kind == "served" and isinstance(answer.reply, Reply):
-            reply = answer.reply
-            kept = {"Content-Type": reply.headers.get("Content-Type", "application/octet-stream")}
-            return web.Response(status=200, body=reply.body, headers=kept)
-        if answer.kind == "refused":
-            response = plain(503, "refused: trying again is harmless")
-            if answer.retry_after_us > 0:
-                response.headers["Retry-After"] = f"{answer.retry_after_us / 1_000_000:.3f}"
-            return response
-        return plain(502, "failed")
+            self.transport.pause_reading()
+            self.transport.write_eof()
+        except OSError:  # it is gone already
+            self.drop()
 
 
-class FrontServer(web.Server):
-    """aiohttp's low-level server, which knows which of its connections are at work."""
+class PlatformServer(FrontServer):
+    """aiohttp's low-level server for the platform's front."""
 
-    def __init__(self, busy: set[object], *given: Any, **named: Any) -> None:
-        super().__init__(*given, **named)
-        self._busy = busy
-
-    def close_idle(self) -> None:
-        """Close the connections that no request is on.
-
-        Not by pre_shutdown: that ends the reading of an idle connection but leaves it open, so that what a
-        client sends on it later would be taken and never answered.
-        """
-        for connection in self.connections:
-            if connection not in self._busy:
-                connection.force_close()
+    def __init__(self, front: Front, room: Room) -> None:
+        super().__init__(room, PlatformLine, _unused, access_log=None)
+        self.front = front
 
 
-def server(
-    handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], body_bytes: int = BODY_BYTES
-) -> FrontServer:
-    """aiohttp's low-level server around a handler; a request whose client leaves is cancelled."""
-    loop = asyncio.get_running_loop()
+async def _unused(request: object) -> Any:
+    raise NotImplementedError("the platform's connections take their requests themselves")
 
-    def make(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=body_bytes)
 
-    busy: set[object] = set()
+class Front:
+    """Handles requests of the platform's protocol."""
 
-    async def tracked(request: web.BaseRequest) -> web.StreamResponse:
-        busy.add(request.protocol)
+    def __init__(self, runtime: Runtime, client: NodeClient, names: Names) -> None:
+        self.counts: Counter[str] = Counter()
+        self.ready, self.names = True, names
+        self._runtime, self._client = runtime, client
+        self._second, self._date = 0, ""
+
+    def date(self) -> str:
+        """Now, as HTTP writes it."""
+        second = int(time.time())
+        if second != self._second:
+            self._second, self._date = second, formatdate(second, usegmt=True)
+        return self._date
+
+    def take(self, line: PlatformLine, message: RawRequestMessage, body: bytes) -> None:
+        """A whole request: answer it, or give it to the core."""
+        path = message.path.partition("?")[0]
+        if path == READY:
+            if self.ready:
+                line.respond(200, b"ready\n")
+            else:
+                line.respond(503, b"stopping\n")
+            return
+        if path != SERVICE:
+            line.refuse(404, "no such route")
+            return
+        runtime = self._runtime
         try:
-            return await handle(request)
-        finally:
-            busy.discard(request.protocol)
-
-    return FrontServer(
-        busy,
-        tracked,
-        request_factory=make,
-        handler_cancellation=True,
-        access_log=None,
-        auto_decompress=False,
-        lingering_time=LINGER_S,
-        max_line_size=16_384,
-    )
+            if body and message.method == "GET":
+                raise MalformedError("a GET has no body")
+            arrival = read_arrival(
+                message.method, message.path, line.fields, runtime.clock.now_us(), self.names,
+                runtime.core.settings,
+            )  # fmt: skip
+        except MalformedError as reason:
+            line.refuse(400, str(reason))
+            return
+        line.request = arrival.request
+        if not runtime.submit(arrival, PlatformJob(self._client, line, message, body)):
+            line.refuse(400, "X-Call-Id is in use")
+
+    def left(self, line: PlatformLine) -> None:
+        """The client closed its connection while its request was open."""
+        self._runtime.left(line.request)
--- a/harriertide/net/lines.py
+++ b/harriertide/net/lines.py
@@ -206,7 +206,7 @@
         return len(self._all) + self._opening
 
     def take(self, address: str) -> Line | None:
-        """An idle connection that is fit for a request, the one used last."""
+        """An idle connection that is fit for a request: the one used last, so that spare ones run out."""
         while lines := self._by_address.get(address):
             line = lines[-1]
             self._forget(line)
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -22,9 +22,10 @@
 from harriertide.core.reducer import Reducer
 from harriertide.counts import line
 from harriertide.log import adopt_libraries, log
+from harriertide.net.clients import FrontServer, Room, listen
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory, Watch
-from harriertide.net.front import Front, FrontServer, server
+from harriertide.net.front import Front, PlatformServer
 from harriertide.net.limits import Limits, read_limits
 from harriertide.net.nodes import NodeClient
 from harriertide.net.peers import Peers, address
@@ -32,7 +33,6 @@
 from harriertide.objects.service import ObjectService
 from harriertide.settings import Names, from_wire, in_places, names_from_wire
 
-BACKLOG = 512
 # After SIGTERM: new connections are taken this long, what is taken is finished within the other.
 ACCEPT_S, FINISH_S = 0.5, 3.4
 
@@ -127,6 +127,7 @@
         self.runtime = Runtime(self.core, Clock(loop))
         self.directory = Directory(names.zones)
         limits = config.limits if config is not None else read_limits({})
+        self.room = Room(limits.clients)
         self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits.boxes)
         self.front = Front(self.runtime, self.client, names)
         self.watch: Watch | None = None
@@ -167,6 +168,7 @@
         names = fresh.names
         self.front.names, self.directory.zones = names, names.zones
         self.client.connect_us, self.client.pool.most = names.connect_us, fresh.limits.boxes
+        self.room.most = fresh.limits.clients
         self.runtime.post(ev.Resettled(fresh.settings))
         if self.objects is not None:
             self.objects.replan(names.plans)
@@ -179,6 +181,7 @@
     def counters(self) -> str:
         """All counts as one line."""
         parts = {"core": self.core.counts, "front": self.front.counts, "boxes": self.client.counts}
+        parts["clients"] = self.room.counts
         if self.watch is not None and self.peers is not None:
             parts |= {"watch": self.watch.counts, "peers": self.peers.counts}
         if self.objects is not None:
@@ -189,27 +192,24 @@
         """Bring the sockets up."""
         loop = asyncio.get_running_loop()
         config = self.config
-        self.servers: list[tuple[asyncio.Server, FrontServer]] = []
+        self.servers: list[asyncio.Server] = []
         if config is not None:
             if config.peer_listen is not None and self.peers is not None:
                 peers = self.peers
                 await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
-            web_server = server(self.front.handle)
-            self.front.kept = lambda: len(web_server.connections)
-            await self._listen(config.listen, web_server)
+            await self._listen(config.listen, PlatformServer(self.front, self.room))
         if self.objects is not None:
-            for at, web_server in self.objects.servers():
+            for at, web_server in self.objects.servers(self.room):
                 await self._listen(address(at), web_server)
             self.objects.start()
 
     async def _listen(self, at: tuple[str, int], web_server: FrontServer) -> None:
-        loop = asyncio.get_running_loop()
-        self.servers.append((await loop.create_server(web_server, *at, backlog=BACKLOG), web_server))
+        self.servers.append(await listen(at, web_server))
         log(f"serves on {at[0]}:{self.port(-1)}")
 
     def port(self, place: int) -> int:
         """The port of a listener, where the system chose it."""
-        return int(self.servers[place][0].sockets[0].getsockname()[1])
+        return int(self.servers[place].sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
         """Not ready; take what still comes for a short while; finish what is taken; close."""
@@ -219,15 +219,13 @@
             self.objects.front.ready = False
         finish_by = loop.time() + FINISH_S
         await _until(loop, loop.time() + ACCEPT_S)
-        for listener, _ in self.servers:
+        for listener in self.servers:
             listener.close()
-        for _, web_server in self.servers:
-            web_server.close_idle()  # those at work close after their answer
+        self.room.close_idle()  # those at work close after their answer
         while self._busy() and loop.time() < finish_by:
             await _until(loop, loop.time() + 0.02)
-        await _until(loop, loop.time() + 0.02)  # answers on their way out
-        for _, web_server in self.servers:
-            web_server.close_idle()
+            self.room.close_idle()  # what crossed the end of the accept window was read by now
+        self.room.close()
         if self.watch is not None:
             await self.watch.close()
         if self.peers is not None:
@@ -237,7 +235,7 @@
         await self.client.close()
 
     def _busy(self) -> bool:
-        return self.core.owed() > 0 or (self.objects is not None and self.objects.front.open > 0)
+        return self.core.owed() > 0 or len(self.room) > 0
 
     async def serve(self, environment: Mapping[str, str]) -> None:
         """Serve until told to stop, then finish what is taken."""
--- a/harriertide/objects/service.py
+++ b/harriertide/objects/service.py
@@ -10,7 +10,7 @@
 from harriertide.config.admin import Admin
 from harriertide.config.model import Operator, OperatorFileError, State
 from harriertide.core import events as ev
-from harriertide.net.front import FrontServer, server
+from harriertide.net.clients import FrontServer, Room, server
 from harriertide.net.nodes import NodeClient
 from harriertide.net.runtime import Runtime
 from harriertide.objects.catalogue import Catalogue
@@ -76,9 +76,9 @@
         """Counters by part."""
         return {"objects": self.front.counts, "store": self.store.counts}
 
-    def servers(self) -> list[tuple[str, FrontServer]]:
+    def servers(self, room: Room) -> list[tuple[str, FrontServer]]:
         """Listeners: the front's and the admin's."""
-        front, admin = server(self.front.handle), server(self._admin.handle, STATE_BYTES)
+        front, admin = server(room, self.front.handle), server(room, self._admin.handle, STATE_BYTES)
         return [(self._operator.listen, front), (self._operator.admin, admin)]
 
     def start(self) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,11 +8,12 @@
     b1 made N                                                          it was connected to so often
     c expect STATUS [Header=PATTERN ...] [body=PATTERN]                (or: c expect eof | c expect short)
     c send raw body=TEXT                                               more of a body
+    c send / c send bytes TEXT                                         connect; bytes, with escapes
     c close / b1 close                                                 the connection last used
     s eof                                                              it was closed by the daemon
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
-    d bound N                        connections to boxes at most
+    d bound N / d room N             connections to boxes, and of clients, at most
     d send config PATH=JSON ...   SIGHUP's course, with the configuration file changed there
     d expect COUNTER=VALUE ...                                         of the core
 
@@ -26,6 +27,7 @@
 import re
 import shlex
 from collections.abc import Callable
+from contextlib import suppress
 from fnmatch import fnmatchcase
 from typing import Any
 
@@ -117,6 +119,8 @@
                 assert self.daemon.core.counts[name] == int(value), f"{name}: {self.daemon.core.counts}"
         elif actor == "d" and verb == "bound":
             self.daemon.client.pool.most = int(words[0])
+        elif actor == "d" and verb == "room":
+            self.daemon.room.most = int(words[0])
         elif actor == "d" and verb == "send":
             self.reload([word.split("=", 1) for word in words[1:]])
         elif actor == "d":
@@ -138,6 +142,12 @@
     async def _ask(self, actor: str, words: list[str]) -> None:
         if actor not in self.clients:
             self.clients[actor] = Line(*await asyncio.open_connection("127.0.0.1", self.ports["front"]))
+        if not words:
+            return
+        if words[0] == "bytes":
+            data = words[1].encode().decode("unicode_escape").encode("latin-1")
+            self.clients[actor].writer.write(data)
+            return
         if words[0] == "raw":
             self.clients[actor].writer.write(self._fields(words[1:], {}))
             return
@@ -152,12 +162,14 @@
         body = self._fields([word for word in rest if not word.startswith("@")], headers)
         if body or method in ("PUT", "POST"):
             headers.setdefault("Content-Length", str(len(body)))
+        headers = {name: value for name, value in headers.items() if value != "-"}
         self._write(self.clients[actor], f"{method} {target} HTTP/1.1", headers, body)
 
     async def _answered(self, actor: str, words: list[str]) -> None:
         line = self.clients[actor]
         if words[0] == "eof":
-            assert await line.reader.read() == b""
+            with suppress(ConnectionError):  # closed on bytes that it did not read
+                assert await line.reader.read() == b""
             return
         if words[0] == "100":
             assert (await line.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 import pytest
 
 from harriertide.config import model
-from harriertide.net import discovery, front
+from harriertide.net import clients, discovery
 from harriertide.net.lines import Line, Pool
 from harriertide.net.peers import address
 from harriertide.net.process import Config, Daemon
@@ -66,11 +66,21 @@
         b1 expect PUT /api?key=00000000000000AB&x=%41%2f X-Call-Id=id1 X-Budget-Ms=* body=ab
         b1 send 200 body=data
         c expect 200 body=data""",
-    "a kept connection serves again": f"""
+    "a kept connection serves again, also after a body that came in pieces": f"""
         c send GET /api @0
         b1 expect GET /api
         {OK}
-        c expect 200
+        c expect 200 Connection=-
+        c send PUT /api @0 body=abc
+        b1 expect PUT /api body=abc
+        {OK}
+        c expect 200 Connection=-
+        c send PUT /api @0 Content-Length=6 body=abc
+        wait 0.05
+        c send raw body=def
+        b1 expect PUT /api body=abcdef
+        {OK}
+        c expect 200 Connection=-
         c send GET /api @0
         b1 expect GET /api
         {OK}
@@ -151,29 +161,30 @@
         c2 expect 200
         d expect left=1 outcome_ok=2""",
     "malformed requests are answered at once, by their reason": """
-        c send GET /api
-        c expect 400 body=X-Call-Id*
-        c send GET /api @0 X-Call-Class=odd
-        c expect 400 body=X-Call-Class*
-        c send GET /api @0 X-Storage-Class=odd
-        c expect 400 body=X-Storage-Class*
-        c send GET /api @0 X-Budget-Ms=1.5
-        c expect 400 body=X-Budget-Ms*
-        c send GET /api @-2
-        c expect 400 body=*shard*
-        c send GET /api @0 X-Extent=volume=zz,units=1,shard=0,hosts=1
-        c expect 400 body=*volume*
-        c send GET /api @0 X-Extent=volume=00000000000000aa,units=nan,shard=0,hosts=1
-        c expect 400 body=*units*
-        c send POST /api @0
-        c expect 400 body=*method*
-        c send GET /other @0
-        c expect 404
-        c send GET /health/ready
-        c expect 200""",
+        c1 send GET /api
+        c1 expect 400 body=X-Call-Id*
+        c2 send GET /api @0 X-Call-Class=odd
+        c2 expect 400 body=X-Call-Class*
+        c3 send GET /api @0 X-Storage-Class=odd
+        c3 expect 400 body=X-Storage-Class*
+        c4 send GET /api @0 X-Budget-Ms=1.5
+        c4 expect 400 body=X-Budget-Ms*
+        c5 send GET /api @-2
+        c5 expect 400 body=*shard*
+        c6 send GET /api @0 X-Extent=volume=zz,units=1,shard=0,hosts=1
+        c6 expect 400 body=*volume*
+        c7 send GET /api @0 X-Extent=volume=00000000000000aa,units=nan,shard=0,hosts=1
+        c7 expect 400 body=*units*
+        c8 send POST /api @0
+        c8 expect 400 body=*method*
+        c9 send GET /other @0
+        c9 expect 404
+        c10 send GET /health/ready
+        c10 expect 200""",
     "what is not HTTP is answered too": """
         c send odd stuff\x01
-        c expect 400""",
+        c expect 400
+        c expect eof""",
     "an oversize body is refused": """
         c send PUT /api @0 body=65537*x
         c expect 413""",
@@ -788,16 +799,111 @@
     asyncio.run(play(script, objects=False, folder=tmp_path))
 
 
-def test_past_its_bound_of_connections_an_answer_closes_its_own(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+def test_past_the_bound_of_client_connections_idle_ones_make_room_and_those_at_work_stay(
+    tmp_path: Path,
 ) -> None:
-    monkeypatch.setattr(front, "KEPT_MOST", 1)
-    script = """
-        c send GET /health/ready
-        c expect 200 Connection=-
+    """Guards against kept or silent connections using up the descriptors."""
+    script = f"""
+        d room 2
+        c send GET /api @0
+        b1 expect GET /api
         c2 send GET /health/ready
-        c2 expect 200 Connection=close
-        c2 expect eof"""
+        c2 expect 200
+        c3 send GET /health/ready
+        c3 expect 200
+        c2 expect eof
+        {OK}
+        c expect 200 body=data"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_with_all_connections_at_work_a_new_one_is_turned_away(tmp_path: Path) -> None:
+    script = f"""
+        d room 1
+        c send GET /api @0
+        b1 expect GET /api
+        c2 send
+        c2 expect eof
+        {OK}
+        c expect 200 body=data"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+ENDLESS = {
+    "silent": "c send",
+    "a head without end": "c send bytes 'GET /api HTTP/1.1\\r\\nHost: x\\r\\nX-Pad: '",
+    "a body without end": "c send PUT /api @0 Content-Length=9 body=part",
+    "chunks without end": "c send PUT /api @0 Transfer-Encoding=chunked Content-Length=- body=1",
+    "a kept one that begins again": """c send GET /health/ready
+        c expect 200
+        c send bytes 'GET /api'""",
+}
+
+
+@pytest.mark.parametrize("send", ENDLESS.values(), ids=ENDLESS.keys())
+@pytest.mark.parametrize("objects", [False, True], ids=["platform", "objects"])
+def test_a_request_that_never_comes_whole_has_an_absolute_deadline(
+    send: str, objects: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A client that waits for its answer, meanwhile, is not held to it."""
+    monkeypatch.setattr(clients, "READ_S", 0.4)
+    if objects:
+        if "PUT" in send or "ready" in send:
+            pytest.skip("bodies have the deadline of their call there; there is no such route")
+        script = f"""
+        {send}
+        c expect eof"""
+    else:
+        script = f"""
+        c2 send GET /api @0
+        b1 expect GET /api
+        {send}
+        c expect eof
+        wait 0.2
+        {OK}
+        c2 expect 200 body=data"""
+    asyncio.run(play(script, objects=objects, folder=tmp_path))
+
+
+TWICE = "X-Call-Id: a\\r\\nX-Call-Id: b"
+PUT_HEAD = r"PUT /api HTTP/1.1\r\nHost: x\r\n"
+UNREADABLE = {
+    "noise": r"\x16\x03\x01\x00\xff\r\n\r\n",
+    "length and chunks": PUT_HEAD + r"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "two lengths": PUT_HEAD + r"Content-Length: 4\r\nContent-Length: 5\r\n\r\n",
+    "a negative length": PUT_HEAD + r"Content-Length: -4\r\n\r\n",
+    "a huge length": PUT_HEAD + r"Content-Length: 99999999999999999999\r\n\r\n",
+    "60 MB": PUT_HEAD + r"Content-Length: 60000000\r\n\r\nxxxxxxxx",
+    "two ids": rf"GET /api HTTP/1.1\r\nHost: x\r\n{TWICE}\r\n\r\n",
+    "chunks that are none": PUT_HEAD + r"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "chunks over the bound": PUT_HEAD + r"Transfer-Encoding: chunked\r\n\r\n11000\r\n" + "x" * 69_632,
+    "an upgrade": r"GET /api HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n",
+    "a head over its bound": r"GET /api HTTP/1.1\r\nHost: x\r\nX-Pad: " + "x" * 20_000,
+    "no such route": r"GET /other HTTP/1.1\r\nHost: x\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("text", UNREADABLE.values(), ids=UNREADABLE.keys())
+def test_what_cannot_be_read_or_hides_a_request_is_an_error_and_a_close(text: str, tmp_path: Path) -> None:
+    """Guards against passing on a request that hides another, and against reading bodies nobody wants."""
+    script = f"""
+        c send bytes '{text}'
+        c expect 4??
+        c expect eof
+        d expect taken=0"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_requests_sent_ahead_are_not_taken_and_a_client_that_floods_is_closed(tmp_path: Path) -> None:
+    script = f"""
+        c send GET /api @0
+        c send GET /api @0
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200 body=data Connection=close
+        c expect eof
+        d expect taken=1"""
     asyncio.run(play(script, objects=False, folder=tmp_path))
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,13 +16,13 @@
 from harriertide.core.reducer import COLD_WRITE_US, Reducer
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory
-from harriertide.net.front import MalformedError, read_arrival
+from harriertide.net.fields import MalformedError, read_arrival, read_fields
 from harriertide.net.limits import OWN, Limits, read_limits
 from harriertide.net.lines import Pool
 from harriertide.net.nodes import KEEP_PART, NodeClient
 from harriertide.net.peers import Peers
 from harriertide.objects import s3
-from harriertide.settings import names_from_wire
+from harriertide.settings import from_wire, names_from_wire
 from tests.helpers import SETTINGS
 from tests.test_net import WIRE
 
@@ -35,8 +35,14 @@
 }
 
 
+def arrival(method: str, target: str, headers: dict[str, str]) -> Any:
+    raw = [(name.encode(), value.encode("utf-8", "surrogateescape")) for name, value in headers.items()]
+    names = names_from_wire(WIRE)
+    return read_arrival(method, target, read_fields(raw), 1_000_000, names, from_wire(WIRE))
+
+
 def test_the_fields_that_decisions_need_are_read() -> None:
-    got = read_arrival("GET", "/api?a=1&key=7f3a9c21e0b4d655", GOOD, 1_000_000, names_from_wire(WIRE))
+    got = arrival("GET", "/api?a=1&key=7f3a9c21e0b4d655", GOOD)
     assert (got.volume, got.units, got.shard, got.hosts) == ("00000003b4d60021", 2.0, 5, 3)
     assert got.key == "7f3a9c21e0b4d655" and not got.repeated
     # the budget counts from when the client sent, which was before now
@@ -47,11 +53,36 @@
 @given(st.sampled_from(sorted(GOOD)), st.text(max_size=30), st.text(max_size=30))
 def test_any_header_is_read_or_said_to_be_malformed(name: str, value: str, target: str) -> None:
     try:
-        read_arrival("GET", f"/api?{target}", {**GOOD, name: value}, 0, names_from_wire(WIRE))
+        arrival("GET", f"/api?{target}", {**GOOD, name: value})
     except MalformedError as reason:
         assert str(reason)
 
 
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("X-Extent", "volume=00000003b4d60021,units=1e300,shard=5,hosts=3"),
+        ("X-Extent", "volume=00000003b4d60021,units=9,shard=5,hosts=3"),  # most_units is 8
+        ("X-Extent", "volume=00000003b4d60021,units=2,units=3,shard=5,hosts=3"),
+        ("X-Extent", "volume=00000003b4d60021,units=-1,shard=5,hosts=3"),
+        ("X-Extent", "volume=00000003b4d60021,units=1_0,shard=5,hosts=3"),
+        ("X-Budget-Ms", "1e3"),
+        ("X-Budget-Ms", "-5"),
+        ("X-Budget-Ms", "0"),
+        ("X-Budget-Ms", "soon"),
+    ],
+)
+def test_figures_that_cannot_be_are_malformed(name: str, value: str) -> None:
+    with pytest.raises(MalformedError, match=name):
+        arrival("GET", "/api", {**GOOD, name: value})
+
+
+def test_a_client_waits_no_longer_than_its_class_lets_it() -> None:
+    """Guards against deadlines of years, which would keep what the core holds for them."""
+    got = arrival("GET", "/api", {**GOOD, "X-Budget-Ms": "99999999999"})
+    assert got.give_up_us <= 1_000_000 + 2_000_000
+
+
 def test_only_listed_peers_are_heard_and_junk_has_no_effect() -> None:
     heard: list[Any] = []
     peers = Peers(["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"], 0, heard.append)
