Let nodes' answers be large, within what the stated memory allows

Ruled out: closes by nodes.

Now: limits.py derives from memory_mb the bytes of one answer (1 to 8 MB) and of all answers held at once; a connection books what its head announces, or chunk by chunk, and gives it back at its end. What clients leave unread is bounded the same way: the longest unread goes first.

Tests: a large answer, a bound that is full and given back, answers nobody reads.

--- a/harriertide/net/clients.py
+++ b/harriertide/net/clients.py
@@ -16,6 +16,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from harriertide.net.limits import Limits
+
 # A request must have come whole this long after its connection was accepted, later ones after their first
 # byte: guards against connections that say nothing, and heads and bodies that never end.
 READ_S = 2.4
@@ -56,9 +58,9 @@
             self.room.move(self, "reading")
         super().data_received(data)
 
-    def unsent(self) -> bool:
-        """Whether some of an answer is still to be written."""
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+    def unsent(self) -> int:
+        """Bytes of answers that are still to be written."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
     def drop(self) -> None:
         """End it now."""
@@ -71,8 +73,8 @@
 class Room:
     """All connections of clients, each under its state, the longest in that state first."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, limits: Limits) -> None:
+        self.limit(limits)
         self.counts: Counter[str] = Counter()
         self._loop = asyncio.get_running_loop()
         self._lines: dict[State, dict[ClientLine, None]] = {
@@ -81,6 +83,10 @@
         self._poll = select.poll()
         self._timer: asyncio.TimerHandle | None = None
 
+    def limit(self, limits: Limits) -> None:
+        """Go by these bounds from now on."""
+        self.most, self.held_most = limits.clients, limits.held
+
     def __len__(self) -> int:
         return sum(map(len, self._lines.values()))
 
@@ -155,6 +161,7 @@
         count = len(self)
         if not count:
             return
+        self._shed_unread()
         over: tuple[tuple[State, float], ...] = (
             ("silent", READ_S), ("reading", READ_S), ("parting", PART_S),
         )  # fmt: skip
@@ -163,6 +170,18 @@
         self._shed("idle", SPARE_S if count > SHORT * self.most else IDLE_S, count)
         self._timer = self._loop.call_at(self._loop.time() + SWEEP_S, self._sweep)
 
+    def _shed_unread(self) -> None:
+        """Close where answers lie unread the longest, while they take more memory than there is for them."""
+        unread = [line for lines in self._lines.values() for line in lines if line.unsent()]
+        total = sum(line.unsent() for line in unread)
+        for line in sorted(unread, key=lambda each: each.since):
+            if total <= self.held_most:
+                break
+            total -= line.unsent()
+            self.counts["shed_unread"] += 1
+            self._lines[line.state].pop(line)
+            line.drop()
+
     def close_idle(self) -> None:
         """Close those on which nothing is asked, and nothing is about to be."""
         both: tuple[State, State] = ("silent", "idle")
--- a/harriertide/net/limits.py
+++ b/harriertide/net/limits.py
@@ -1,4 +1,4 @@
-"""How the descriptors that the process may hold are shared out."""
+"""How the descriptors and the memory that the process may hold are shared out."""
 
 from __future__ import annotations
 
@@ -8,28 +8,32 @@
 
 OWN = 28  # standard streams, the loop's own, listeners, peers, two watches on discovery, the catalogue, logs
 SPARE_PART = 0.1  # for connections that were accepted and are not yet shed, or are closed and not yet gone
+OWN_MB, LEAST_MB = 44, 16  # the interpreter, the core and the connections themselves, with room to breathe
 BOXES_PART = 0.35  # of what is left, for connections to boxes
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Connections at most, by side."""
+    """Connections at most, by side; bytes of one answer of a box, and of all answers held at once."""
 
     clients: int
     boxes: int
+    answer: int
+    held: int
 
     @classmethod
-    def share(cls, sockets: int) -> Limits:
-        """Shares of so many descriptors."""
+    def share(cls, sockets: int, memory_mb: int) -> Limits:
+        """Shares of so many descriptors and so much memory."""
         left = max(16, int((sockets - OWN) * (1 - SPARE_PART)))
         boxes = int(left * BOXES_PART)
-        return cls(clients=left - boxes, boxes=boxes)
+        spare = max(LEAST_MB, memory_mb - OWN_MB) << 20
+        return cls(left - boxes, boxes, answer=min(8 << 20, max(1 << 20, spare // 16)), held=spare // 3)
 
 
 def read_limits(raw: dict[str, Any]) -> Limits:
     """As the configuration states them, but never more than the system grants."""
     granted, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    stated = int(raw.get("sockets") or 1024)
+    stated, memory_mb = int(raw.get("sockets") or 1024), int(raw.get("memory_mb") or 256)
     if stated < 64:
         raise ValueError("limits.sockets: must be at least 64")
-    return Limits.share(min(stated, granted) if granted > 0 else stated)
+    return Limits.share(min(stated, granted) if granted > 0 else stated, memory_mb)
--- a/harriertide/net/lines.py
+++ b/harriertide/net/lines.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import select
-from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -19,6 +18,8 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from harriertide.net.limits import Limits
+
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
 _EOF_LINES = frozenset((204, 304))
@@ -42,14 +43,16 @@
     connection unfit for another request, and never reaches one.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: str, lost: Callable[[Line], None]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: str, pool: Pool) -> None:
         super().__init__(loop)
-        self.address, self._lost = address, lost
+        self.address, self._pool = address, pool
         self.idle_since = 0.0
+        self.held = 0  # bytes of its answer that count against the pool's bound
         self.surplus = False
         self._phase = Phase.NONE
         self._head = b""
         self._heads = self._left = self._most = 0
+        self._whole = False
         self._message: RawResponseMessage | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -61,13 +64,17 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Gone, by whoever's doing."""
         super().connection_lost(exc)
-        self._lost(self)
+        self._pool.drop(self)
+
+    def ask(self, data: bytes, most: int | None) -> None:
+        """Write a request, or the beginning of one.
 
-    def ask(self, data: bytes, most: int) -> None:
-        """Write a request, or the beginning of one. most: bytes that the answer's body may have."""
+        most: bytes that the answer's body may have; None where it will be held as a whole.
+        """
         if self.transport is None:
             raise aiohttp.ClientConnectionResetError("the connection is gone")
-        self._phase, self._heads, self._most, self._message = Phase.HEAD, 0, most, None
+        self._phase, self._heads, self._message = Phase.HEAD, 0, None
+        self._whole, self._most = most is None, self._pool.answer if most is None else most
         self.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=READ_BYTES)
         self.transport.write(data)
 
@@ -115,7 +122,7 @@
                 self._too_much()
         elif self._phase is Phase.OPEN:
             self._left -= len(data)
-            if self._left < 0:
+            if self._left < 0 or (self._whole and not self._pool.hold(self, len(data))):
                 self._spoil("a body over its bound")
                 return
             super().data_received(data)
@@ -158,13 +165,13 @@
         elif sizes:
             self._left = int(sizes[0])
             self._phase = Phase.SIZED if self._left else Phase.WHOLE
-            if self._left > self._most:
+            if self._left > self._most or (self._whole and not self._pool.hold(self, self._left)):
                 self._spoil("a body over its bound")
         elif message.code in _EOF_LINES:
             self._phase = Phase.WHOLE
         elif message.chunked or self._says_close(message):
             # behind a body that ends by itself, surplus can't be told from it: no further request
-            self._phase, self._left = Phase.OPEN, 2 * self._most + HEAD_BYTES
+            self._phase, self._left = Phase.OPEN, self._most + HEAD_BYTES
             self.force_close()
         else:
             self._spoil("a body without a length")
@@ -192,8 +199,10 @@
 class Pool:
     """All connections to boxes, within a bound."""
 
-    def __init__(self, most: int, keep_s: float) -> None:
-        self.most, self.keep_s = most, keep_s
+    def __init__(self, limits: Limits, keep_s: float) -> None:
+        self.keep_s = keep_s
+        self._held = 0
+        self.limit(limits)
         self._loop = asyncio.get_running_loop()
         self._all: set[Line] = set()
         self._opening = 0
@@ -202,9 +211,25 @@
         self._sweeper: asyncio.TimerHandle | None = None
         self._poll = select.poll()
 
+    def limit(self, limits: Limits) -> None:
+        """Go by these bounds from now on."""
+        self.most, self.answer, self.held_most = limits.boxes, limits.answer, limits.held
+
     def __len__(self) -> int:
         return len(self._all) + self._opening
 
+    def hold(self, line: Line, size: int) -> bool:
+        """Whether there is room in memory for an answer; it is given back with its connection."""
+        if self._held + size > self.held_most:
+            return False
+        line.held += size
+        self._held += size
+        return True
+
+    def _let_go(self, line: Line) -> None:
+        self._held -= line.held
+        line.held = 0
+
     def take(self, address: str) -> Line | None:
         """An idle connection that is fit for a request: the one used last, so that spare ones run out."""
         while lines := self._by_address.get(address):
@@ -240,7 +265,7 @@
         self._opening += 1
         try:
             _, line = await self._loop.create_connection(
-                lambda: Line(self._loop, address, self._drop), host, int(port)
+                lambda: Line(self._loop, address, self), host, int(port)
             )
         finally:
             self._opening -= 1
@@ -251,6 +276,7 @@
 
     def put(self, line: Line) -> None:
         """Back after an exchange: kept if it is fit, else closed."""
+        self._let_go(line)
         if not line.fit or len(self) > self.most:
             line.abort()
             return
@@ -277,7 +303,9 @@
         self._forget(line)
         line.abort()
 
-    def _drop(self, line: Line) -> None:
+    def drop(self, line: Line) -> None:
+        """It is gone."""
+        self._let_go(line)
         self._all.discard(line)
         if line in self._idle:
             self._forget(line)
--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -13,6 +13,7 @@
 from aiohttp.streams import StreamReader
 
 from harriertide import api
+from harriertide.net.limits import Limits
 from harriertide.net.lines import Line, Pool
 from harriertide.net.runtime import Attempt
 
@@ -76,10 +77,10 @@
     """Exchanges with nodes. find: the address of a node, by its id."""
 
     def __init__(
-        self, find: Callable[[str], str | None], connect_us: int, idle_us: int, most: int = 450
+        self, find: Callable[[str], str | None], connect_us: int, idle_us: int, limits: Limits
     ) -> None:
         self.counts: Counter[str] = Counter()
-        self.pool = Pool(most, KEEP_PART * idle_us / 1_000_000)
+        self.pool = Pool(limits, KEEP_PART * idle_us / 1_000_000)
         self.connect_us = connect_us
         self._find = find
 
@@ -95,9 +96,9 @@
         target: str,
         headers: Mapping[str, str],
         body: Body = b"",
-        most: int = BODY_BYTES,
+        most: int | None = BODY_BYTES,
     ) -> AsyncIterator[Incoming]:
-        """Send the request; the answer as it comes. most: bytes that its body may have.
+        """Send the request; the answer as it comes. most: bytes that its body may have; None: see ask().
 
         Raises BrokenError as PROTOCOL's table has it.
         """
@@ -180,7 +181,7 @@
         if body or method != "GET":
             headers = {**headers, "Content-Length": str(len(body))}
         try:
-            async with self.open(attempt, method, target, headers, body) as answer:
+            async with self.open(attempt, method, target, headers, body, most=None) as answer:
                 reply = Reply(answer.status, answer.headers, await answer.read())
                 return outcome(reply), reply
         except BrokenError as end:
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -127,8 +127,8 @@
         self.runtime = Runtime(self.core, Clock(loop))
         self.directory = Directory(names.zones)
         limits = config.limits if config is not None else read_limits({})
-        self.room = Room(limits.clients)
-        self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits.boxes)
+        self.room = Room(limits)
+        self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits)
         self.front = Front(self.runtime, self.client, names)
         self.watch: Watch | None = None
         self.peers: Peers | None = None
@@ -167,8 +167,9 @@
         self.config = fresh
         names = fresh.names
         self.front.names, self.directory.zones = names, names.zones
-        self.client.connect_us, self.client.pool.most = names.connect_us, fresh.limits.boxes
-        self.room.most = fresh.limits.clients
+        self.client.connect_us = names.connect_us
+        self.client.pool.limit(fresh.limits)
+        self.room.limit(fresh.limits)
         self.runtime.post(ev.Resettled(fresh.settings))
         if self.objects is not None:
             self.objects.replan(names.plans)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,7 +13,7 @@
     s eof                                                              it was closed by the daemon
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
-    d bound N / d room N             connections to boxes, and of clients, at most
+    d set boxes.BOUND=N / clients.BOUND=N       a bound of the pool of connections, or of their room
     d send config PATH=JSON ...   SIGHUP's course, with the configuration file changed there
     d expect COUNTER=VALUE ...                                         of the core
 
@@ -117,10 +117,12 @@
         elif actor == "d" and verb == "expect":
             for name, _, value in (word.partition("=") for word in words):
                 assert self.daemon.core.counts[name] == int(value), f"{name}: {self.daemon.core.counts}"
-        elif actor == "d" and verb == "bound":
-            self.daemon.client.pool.most = int(words[0])
-        elif actor == "d" and verb == "room":
-            self.daemon.room.most = int(words[0])
+        elif actor == "d" and verb == "set":
+            for path, _, value in (word.partition("=") for word in words):
+                part, _, name = path.partition(".")
+                held = {"boxes": self.daemon.client.pool, "clients": self.daemon.room}[part]
+                assert hasattr(held, name)
+                setattr(held, name, int(value))
         elif actor == "d" and verb == "send":
             self.reload([word.split("=", 1) for word in words[1:]])
         elif actor == "d":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -703,6 +703,7 @@
 def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(answer: str, tmp_path: Path) -> None:
     """Guards against answers without bounds, and against passing on what no box made."""
     script = f"""
+        d set boxes.answer=65536
         c send GET /api @0
         b1 expect GET /api
         b1 send bytes '{answer}'
@@ -731,10 +732,49 @@
     asyncio.run(play(script, objects=False, folder=tmp_path))
 
 
+def test_an_answer_may_be_large_within_the_memory_there_is(tmp_path: Path) -> None:
+    """Boxes answer with hundreds of kilobytes; what is held at once is bounded, and given back."""
+    script = f"""
+        c3 send GET /api @1
+        b2 expect GET /api
+        b2 send 200 body=400000*x
+        c3 expect 200 body=400000*x
+        d set boxes.held_most=1000
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 200 body=800*x
+        c expect 200 body=800*x
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send bytes 'HTTP/1.1 200 OK\\r\\nContent-Length: 800\\r\\n\\r\\n'
+        wait 0.05
+        c2 send GET /api @1
+        b2 expect GET /api
+        b2 send 200 body=800*x
+        b2 expect GET /api
+        b2 send 200 body=few
+        c2 expect 200 body=few
+        b1 send bytes {"'" + "x" * 800 + "'"}
+        c expect 200 body=800*x
+        d expect outcome_ok=4 outcome_reset=1"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_answers_that_nobody_reads_do_not_use_up_the_memory(tmp_path: Path) -> None:
+    script = """
+        d set clients.held_most=100000
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 200 body=8000000*x
+        wait 0.4
+        c expect short"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
 def test_connections_to_boxes_stay_within_their_bound_and_idle_ones_make_room(tmp_path: Path) -> None:
     """Guards against the pool using up the descriptors: past its bound a request is turned away early."""
     script = f"""
-        d bound 1
+        d set boxes.most=1
         c send GET /api @0
         b1 expect GET /api
         c2 send GET /api @1
@@ -804,7 +844,7 @@
 ) -> None:
     """Guards against kept or silent connections using up the descriptors."""
     script = f"""
-        d room 2
+        d set clients.most=2
         c send GET /api @0
         b1 expect GET /api
         c2 send GET /health/ready
@@ -819,7 +859,7 @@
 
 def test_with_all_connections_at_work_a_new_one_is_turned_away(tmp_path: Path) -> None:
     script = f"""
-        d room 1
+        d set clients.most=1
         c send GET /api @0
         b1 expect GET /api
         c2 send
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,7 +17,7 @@
 from harriertide.net.clock import Clock
 from harriertide.net.discovery import Directory
 from harriertide.net.fields import MalformedError, read_arrival, read_fields
-from harriertide.net.limits import OWN, Limits, read_limits
+from harriertide.net.limits import OWN, OWN_MB, Limits, read_limits
 from harriertide.net.lines import Pool
 from harriertide.net.nodes import KEEP_PART, NodeClient
 from harriertide.net.peers import Peers
@@ -26,6 +26,7 @@
 from tests.helpers import SETTINGS
 from tests.test_net import WIRE
 
+LIMITS = Limits.share(256, 64)
 GOOD = {
     "X-Call-Id": "i",
     "X-Call-Class": "page-read",
@@ -133,8 +134,8 @@
 def test_idle_connections_are_dropped_before_the_node_would() -> None:
     async def main() -> None:
         server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-        pool = Pool(2, 0.05)
-        assert NodeClient(lambda node: None, 250_000, 10_000_000).pool.keep_s == KEEP_PART * 10 < 10
+        pool = Pool(LIMITS, 0.05)
+        assert NodeClient(lambda node: None, 250_000, 10_000_000, LIMITS).pool.keep_s == KEEP_PART * 10 < 10
         line = await pool.open(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
         assert line is not None and len(pool) == 1
         pool.rest(line)
@@ -148,11 +149,12 @@
 
 def test_the_stated_descriptors_are_shared_out_with_some_left_over() -> None:
     for sockets in (64, 256, 384, 1024):
-        limits = Limits.share(sockets)
+        limits = Limits.share(sockets, 64)
         assert limits.clients + limits.boxes + OWN < sockets or sockets == 64
         # clients hold up to a third of them for requests
         assert sockets == 64 or limits.clients >= sockets / 3 and limits.boxes >= sockets / 4
-    assert read_limits({"sockets": 300}) == Limits.share(300)
+        assert limits.held + limits.answer < (64 - OWN_MB) << 20 and limits.answer >= 1 << 20
+    assert read_limits({"sockets": 300, "memory_mb": 80}) == Limits.share(300, 80)
     with pytest.raises(ValueError, match="limits.sockets"):
         read_limits({"sockets": 10})
 
