Cancel attempts that hang while their node answers what it was sent later

Cause: an attempt on a connection that fell silent holds its units of the bound until the client's time is up, the queue behind it counts as pressure, and what is served meanwhile is learned as the node's rate.

Now: a node takes requests in turn of arrival, so an attempt that two later answers overtake, and that has lasted 5 latencies by its size, is cancelled (api.Cancel, undoSend on the wire, where limits.cancel allows; the reducer's StopAttempt) and tried again. No sign of life counts as one aim of strain.

Tests: module, reducer and a scenario, each failing without it.

--- a/harriertide/api.py
+++ b/harriertide/api.py
@@ -77,6 +77,7 @@
     ask_for_list: bool = False
     may_tell: bool = False
     may_say_when: bool = False
+    may_cancel: bool = False
     max_retry_after_us: int = 0
     max_attempts: int = 1
     tick_us: int = 1_000
@@ -206,6 +207,14 @@
     stop_at_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop waiting for an attempt; its outcome follows, cancelled or what was on its way."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: not done, trying again is harmless. retry_after_us 0: no advice."""
@@ -249,4 +258,4 @@
     text: str
 
 
-Action: TypeAlias = Send | Refuse | Fail | Wake | Subscribe | Tell | Log
+Action: TypeAlias = Send | Cancel | Refuse | Fail | Wake | Subscribe | Tell | Log
--- a/harriertide/benchlink.py
+++ b/harriertide/benchlink.py
@@ -83,6 +83,7 @@
 
 _ACTIONS: dict[type, Callable[[Any], tuple[str, Fields]]] = {
     api.Send: lambda a: ("try", {"req": a.request, "stopAtUs": a.stop_at_us, "shelf": a.node}),
+    api.Cancel: lambda a: ("undoSend", {"req": a.request, "sendNo": a.attempt}),
     api.Refuse: lambda a: ("decline", {"req": a.request, "notBeforeForUs": a.retry_after_us}),
     api.Fail: lambda a: ("lose", {"req": a.request}),
     api.Wake: lambda a: ("wakeMe", {"sleepForUs": a.after_us, "ctx": a.token}),
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -74,6 +74,14 @@
     stop_at_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class StopAttempt:
+    """Stop an attempt that is out; it ends as cancelled, unless it has ended already."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """The one final answer. reply: of the attempt that served it."""
@@ -112,4 +120,4 @@
     text: str
 
 
-Effect: TypeAlias = StartAttempt | Answer | SetTimer | TellPeer | OpenWatch | Say
+Effect: TypeAlias = StartAttempt | StopAttempt | Answer | SetTimer | TellPeer | OpenWatch | Say
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -175,7 +175,9 @@
     def _do(self, now_us: int, action: api.Action) -> list[api.Event]:
         if isinstance(action, api.Send):
             return self._send(now_us, action)
-        if isinstance(action, api.Refuse):
+        if isinstance(action, api.Cancel):
+            self._cancel(action)
+        elif isinstance(action, api.Refuse):
             self._final(ev.Answer(action.request, "refused", None, action.retry_after_us))
         elif isinstance(action, api.Fail):
             self._final(ev.Answer(action.request, "failed"))
@@ -208,6 +210,12 @@
         self._effects.append(ev.StartAttempt(action.request, number, action.node, stop_us))
         return []
 
+    def _cancel(self, action: api.Cancel) -> None:
+        taken = self._taken.get(action.request)
+        if taken is not None and taken.out == action.attempt:
+            self.counts["cancels"] += 1
+            self._effects.append(ev.StopAttempt(action.request, action.attempt))
+
     def _final(self, answer: ev.Answer) -> None:
         taken = self._taken.get(answer.request)
         if taken is not None and not taken.answered:
--- a/harriertide/net/runtime.py
+++ b/harriertide/net/runtime.py
@@ -54,7 +54,7 @@
         self._loop = asyncio.get_running_loop()
         self._jobs: dict[str, Job] = {}
         self._events: list[ev.Event] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     def submit(self, arrival: api.Arrival, job: Job) -> bool:
         """Take a request into the core; False if its id is in use."""
@@ -86,8 +86,11 @@
         if isinstance(effect, ev.StartAttempt):
             attempt = Attempt(self, effect.request, effect.attempt, effect.node, effect.stop_at_us)
             task = self._loop.create_task(self._run(self._jobs[effect.request], attempt))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks[effect.request, effect.attempt] = task
+        elif isinstance(effect, ev.StopAttempt):
+            running = self._tasks.get((effect.request, effect.attempt))
+            if running is not None:
+                running.cancel()
         elif isinstance(effect, ev.Answer):
             job = self._jobs[effect.request]
             if not self.core.holds(effect.request):
@@ -108,7 +111,10 @@
         reply: object = None
         try:
             kind, reply = await job.attempt(attempt)
+        except asyncio.CancelledError:  # the core has stopped it, at the earliest once it was begun
+            kind = "cancelled"
         except Exception:  # guards against a fault in a performer leaving its request without an answer
             log("an attempt failed in the broker itself:\n" + traceback.format_exc())
         finally:
+            self._tasks.pop((attempt.request, attempt.number), None)
             self.post(ev.Ended(attempt.request, attempt.number, kind, reply))
--- a/harriertide/rules.py
+++ b/harriertide/rules.py
@@ -49,6 +49,8 @@
 # Health and further attempts
 SILENT_STREAK = 3  # attempts in a row that ended without a sign of life
 TRIAL_US = 250_000  # between single trial requests at a silent node
+OVERTAKEN = 2  # answers of a node to what it was sent later, after which an attempt there may be lost
+PATIENCE = 5.0  # and latest latencies there, by size, that it has lasted
 MARGIN_US = 50_000  # kept to the end of a repeat window
 ASK_FIRST_US, ASK_MOST_US = 300_000, 4_000_000  # backoff of calls to the node list
 EVEN, GIVEN = 0.2, 0.4  # of a cold node's safe units: dealt out evenly; held by each of two keepers
@@ -472,6 +474,7 @@
         node, sent_us = request.out.pop(event.attempt)
         node.out -= 1
         node.out_units -= request.arrival.units
+        node.flying.pop(request, None)
         cell = request.cell
         assert cell is not None
         if event.kind not in NEVER_RAN and (request.maybe_us == 0 or sent_us < request.maybe_us):
@@ -480,11 +483,16 @@
             request.line.rest_us = self._now + self._s.key_rest_us + self._s.tick_us
         self._health(event, node)
         self._touched[cell.shard] = self._active[cell.shard] = cell
-        took = 1.0 if event.kind == "full" else (self._now - request.taken_us) / request.kind.aim_us
-        cell.strained += request.arrival.units * min(2.0, took)
-        cell.strain += SAMPLE * (took - cell.strain)
+        # No sign of life is no figure of how busy a node is, however long it was waited for: counted like a
+        # 'full', a few lost connections look like nothing, and a node that answers nothing like pressure.
+        plain = event.kind == "full" or event.kind in NO_LIFE
+        took = 1.0 if plain else (self._now - request.taken_us) / request.kind.aim_us
+        if event.kind != "cancelled":
+            cell.strained += request.arrival.units * min(2.0, took)
+            cell.strain += SAMPLE * (took - cell.strain)
         self._judge(cell)
         if event.kind == "ok":
+            self._overtake(node, sent_us)
             cell.served += request.arrival.units
             cls, took_us = request.arrival.request_class, event.took_us
             usual = self._usual[cls] or float(max(1, took_us))
@@ -518,6 +526,25 @@
                 self._actions.append(api.Log(f"node {node.id} is back"))
             node.streak, node.silent = 0, False
 
+    def _overtake(self, node: Node, sent_us: int) -> None:
+        """Give up attempts that hang, as the node has answered what it was sent later.
+
+        Guards against connections that fall silent or bring half an answer: what hangs on one would hold its
+        request and its part of the bound until the client's time is up. A node takes requests in turn of
+        arrival, so one that is merely slow or paused answers the earlier ones first. Could hurt where a large
+        request shares its node with many small ones: hence the patience by size.
+        """
+        for request, count in list(node.flying.items()) if self._s.may_cancel else ():
+            since_us = request.out[request.sent - 1][1]
+            if since_us >= sent_us:
+                return
+            node.flying[request] = count + 1
+            size = max(1.0, request.arrival.units / self._s.mean_units)
+            expected = node.fast * self._usual[request.arrival.request_class] * size
+            if count + 1 >= OVERTAKEN and self._now > since_us + PATIENCE * expected:
+                del node.flying[request]
+                self._actions.append(api.Cancel(request.id, request.sent - 1))
+
     def _may_retry(self, request: Request) -> bool:
         """Whether a further attempt is allowed by the request's own rules."""
         spare = request.sent < self._s.max_attempts and not request.begun
@@ -562,6 +589,7 @@
         request.sent += 1
         node.out += 1
         node.out_units += event.units
+        node.flying[request] = 0
         if node.silent:
             node.trial_us = self._now + TRIAL_US
         # a head with little to send steers no queue by its bound: what waits past its aim makes room
--- a/harriertide/settings.py
+++ b/harriertide/settings.py
@@ -32,6 +32,7 @@
         ask_for_list=raw["membershipMode"] == "ask",
         may_tell=limits["peers"],
         may_say_when=limits["retryAfter"],
+        may_cancel=bool(limits.get("cancel")),
         max_retry_after_us=limits["maxRetryAfterUs"],
         max_attempts=limits["tryLimit"],
         tick_us=raw["roundUs"],
--- a/harriertide/state.py
+++ b/harriertide/state.py
@@ -47,6 +47,7 @@
     streak: int = 0
     silent: bool = False
     trial_us: int = 0
+    flying: dict[Request, int] = field(default_factory=dict)  # out there: answers to what was sent later
     spent: deque[tuple[int, float]] = field(default_factory=deque)
     given: deque[tuple[int, float]] = field(default_factory=deque)  # as keeper, to other heads
     asked_us: int = 0  # for a gift; 0: none awaited
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,6 +1,7 @@
 """The ordinary path: bids, slices, thinning, bound, order."""
 
 from pathlib import Path
+from typing import Any
 from zlib import crc32
 
 from harriertide import api, rules
@@ -343,3 +344,43 @@
     head.do(api.PeerNote(FIRST, sums([1.0] * BANDS, 80.0, pressed=False)))
     head.scheduler._cells[0].pressed = False
     assert not told(head.idle(4 * ROUND_US))
+
+
+def overtaken(kind: str, **changes: Any) -> list[api.Cancel]:
+    """One attempt hangs; three requests sent later to the same node end, well after its patience."""
+    head = Head(**{"may_cancel": True, **changes})
+    for _ in range(5):  # what is usual there
+        head.ask()
+        head.end(f"r{head.made}")
+    head.ask()
+    done: list[api.Action] = []
+    for _ in range(3):
+        head.ask()
+        done += head.end(f"r{head.made}", kind, after_us=60_000)
+    return [action for action in done if isinstance(action, api.Cancel)]
+
+
+def test_an_attempt_that_later_answers_of_its_node_overtake_is_cancelled_once() -> None:
+    """Guards against connections that fall silent: what hangs on one held its request and the bound."""
+    assert overtaken("ok") == [api.Cancel("r6", 0)]
+    assert overtaken("error") == [], "quick errors overtake honest work"
+    assert overtaken("ok", may_cancel=False) == []
+
+
+def test_a_cancelled_attempt_is_tried_again_in_time_and_its_room_is_free() -> None:
+    head = Head(may_cancel=True)
+    head.ask()
+    assert [send.request for send in sends(head.end("r1", "cancelled", over=False))] == ["r1"]
+
+
+def test_lost_connections_are_no_pressure_but_a_node_that_answers_nothing_is() -> None:
+    """Guards against learning a rate from rounds in which attempts hung, not worked."""
+    head = Head()
+    for number in range(40):
+        head.ask()
+        head.end(f"r{head.made}", "timeout" if number % 10 == 0 else "ok", over=True, after_us=30_000)
+    assert not head.scheduler._cells[0].pressed
+    for _ in range(20):
+        head.ask()
+        head.end(f"r{head.made}", "timeout", over=True, after_us=300_000)
+    assert head.scheduler._cells[0].pressed
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -23,6 +23,7 @@
 
 WIRE: dict[str, Any] = {
     **SETTINGS,
+    "limits": {**SETTINGS["limits"], "cancel": True},
     "zones": ["a"],
     "classes": [{**SETTINGS["classes"][0], "name": "page-read", "sloUs": 1_200_000}],
     "plans": [{**SETTINGS["plans"][0], "name": "gold"}],
@@ -195,6 +196,22 @@
         c2 expect 400 body=*use*
         {OK}
         c expect 200""",
+    "an attempt that hangs while others on its box are answered is closed and tried again": f"""
+        c send GET /api @0
+        b1 expect GET /api
+        c2 send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c2 expect 200
+        c2 send GET /api @0
+        b1 expect GET /api
+        wait 0.1
+        {OK}
+        c2 expect 200
+        b1 expect GET /api X-Call-Id=id1
+        {OK}
+        c expect 200
+        d expect outcome_cancelled=1 outcome_ok=3 attempts=4""",
     "a drain on the watch, in pieces, ends sends": f"""
         {WATCH}
         s send list b1=draining
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -93,6 +93,14 @@
     assert not core.holds("r")
 
 
+def test_only_the_attempt_that_is_out_is_stopped() -> None:
+    wrong = [api.Cancel("r", 1), api.Cancel("x", 0)]
+    core = Reducer(LONE, 1, Scripted([send()], wrong, [api.Cancel("r", 0)]))
+    core.step(START_US, [HELD, arrival()])
+    assert not kinds(core.step(START_US, [arrival("s")]), ev.StopAttempt)
+    assert kinds(core.step(START_US, [arrival("t")]), ev.StopAttempt) == [ev.StopAttempt("r", 0)]
+
+
 def test_one_final_answer_whatever_the_module_says_after_it() -> None:
     core = Reducer(LONE, 1, Scripted([send()], [api.Refuse("r"), api.Fail("r")]))
     core.step(START_US, [HELD, arrival()])
