Take spoilt answers as errors of a box that lives, and notice those that stop short

Checked: module traces, counters of all brokers. Lines at fault: a spoilt answer was a reset, which counts towards silence; a short one held its request until its time was up.

Now: what a connection finds spoilt is the outcome error; an answer of which a part has come ends 60 ms after its last byte (an absolute deadline on the loop's clock; bodies passed on piece by piece are not watched).

--- a/harriertide/net/lines.py
+++ b/harriertide/net/lines.py
@@ -22,6 +22,7 @@
 
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
+STALL_S = 0.06
 _EOF_LINES = frozenset((204, 304))
 
 
@@ -48,7 +49,8 @@
         self.address, self._pool = address, pool
         self.idle_since = 0.0
         self.held = 0  # bytes of its answer that count against the pool's bound
-        self.surplus = False
+        self.surplus = self.spoilt = False
+        self._stall: asyncio.TimerHandle | None = None
         self._phase = Phase.NONE
         self._head = b""
         self._heads = self._left = self._most = 0
@@ -64,6 +66,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Gone, by whoever's doing."""
         super().connection_lost(exc)
+        self._watch(False)
         self._pool.drop(self)
 
     def ask(self, data: bytes, most: int | None) -> None:
@@ -109,6 +112,25 @@
         if not data:  # the reader has caught up
             super().data_received(data)
             return
+        self._cut(data)
+        if self._whole:
+            self._watch(self._phase in (Phase.HEAD, Phase.SIZED, Phase.OPEN))
+
+    def _watch(self, on: bool) -> None:
+        """Look out for an answer that stops short.
+
+        Guards against boxes that announce more than they send and keep the connection open: once a part has
+        come, the rest follows at once, or never. Answers that are passed on piece by piece are not watched.
+        """
+        if self._stall is not None:
+            self._stall.cancel()
+        self._stall = self._loop.call_at(self._loop.time() + STALL_S, self._stalled) if on else None
+
+    def _stalled(self) -> None:
+        self._stall = None
+        self._spoil("an answer that stopped short")
+
+    def _cut(self, data: bytes) -> None:
         while self._phase is Phase.HEAD and data:
             data = self._take_head(data)
         if not data:
@@ -150,6 +172,7 @@
         super().data_received(head)
         message, self._message = self._message, None
         if self.exception() is not None:
+            self._phase, self.spoilt = Phase.NONE, True
             return b""
         if message is None or message.code == 101:
             self._spoil("no answer in its head")
@@ -192,7 +215,7 @@
         if self._payload is not None:
             self._payload.set_exception(fault)
         self.set_exception(fault)
-        self._phase, self.surplus = Phase.NONE, True
+        self._phase, self.surplus, self.spoilt = Phase.NONE, True, True
         self.abort()
 
 
--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -139,7 +139,12 @@
     def _end(
         kind: api.OutcomeKind, line: Line | None, asked: bool, stream: asyncio.Task[None] | None
     ) -> api.OutcomeKind:
-        """A box starts a request with its last byte: one that was not written out never ran."""
+        """A box starts a request with its last byte: one that was not written out never ran.
+
+        One that answered, if nothing of use, has shown that it lives and how fast it is.
+        """
+        if line is not None and line.spoilt:
+            return "error"
         out = stream is None or (stream.done() and not stream.cancelled() and stream.exception() is None)
         return kind if line is not None and asked and out and not line.writing_paused else "connect_failed"
 
