Serve kept connections on through SIGTERM, and answer what is open at its end

Change: after the accept window, requests on kept connections are served for as long as a request may take (3 s at most) and a little more; only the last answers say Connection: close. What is open at the end is answered (Closing, in the reducer), not dropped. One broken effect no longer takes those behind it along.

--- a/harriertide/__main__.py
+++ b/harriertide/__main__.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -54,10 +55,21 @@
         from harriertide.config import commands
 
         return commands.plan(given["FILE"], given["-o"]) if given["plan"] else commands.apply(given["PLAN"])
+    _start_lean()
     from harriertide.net.process import run
 
     return run(os.environ, given["--objects"])
 
 
+def _start_lean() -> None:
+    """Leave out of the start what takes a third of it and is of no use here.
+
+    A broker that restarts is missed for as long. aiohttp reads the system's certificates as it is imported,
+    but no TLS is spoken; the collector of cycles looks through modules as they come, which stay.
+    """
+    os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
+    gc.disable()  # until it serves
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/harriertide/config/model.py
+++ b/harriertide/config/model.py
@@ -9,13 +9,14 @@
 from typing import Any
 
 from harriertide import api
+from harriertide.settings import PlainError
 
 Row = dict[str, Any]
 State = dict[str, dict[str, Any]]
 SECTIONS = ("boxes", "grades", "volumes", "limits")
 
 
-class OperatorFileError(Exception):
+class OperatorFileError(PlainError):
     """What cannot be used, in one plain line that names the key."""
 
 
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -61,7 +61,12 @@
     settings: api.Settings
 
 
-Event: TypeAlias = Arrived | Ended | Left | Listed | Fired | Heard | Resettled
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The process ends: whatever is open is answered now."""
+
+
+Event: TypeAlias = Arrived | Ended | Left | Listed | Fired | Heard | Resettled | Closing
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -114,6 +114,9 @@
         if isinstance(event, ev.Resettled):
             self.settings = event.settings
             return [api.Resettled(_for_module(event.settings))]
+        if isinstance(event, ev.Closing):
+            self._answer_all()
+            return []
         return [api.Woke(event.token)]
 
     def _arrive(self, arrival: api.Arrival) -> list[api.Event]:
@@ -232,11 +235,7 @@
         """The module broke: log it, answer all it held, start a fresh one on the list as known."""
         self.counts["module_faults"] += 1
         self._effects.append(ev.Say("the decision module failed; open requests are answered:\n" + trace))
-        for taken in list(self._taken.values()):
-            effect = self.settings.classes[taken.arrival.request_class].effect
-            kind = "refused" if effect == "safe" or not taken.made else "failed"
-            wait_us = self.settings.max_retry_after_us if kind == "refused" else 0
-            self._final(ev.Answer(taken.arrival.request, kind, None, wait_us))  # type: ignore[arg-type]
+        self._answer_all()
         self._seed += 1
         self._scheduler = self._make(_for_module(self.settings), self._seed)
         held = api.NodeList("held", tuple(self._nodes.values()))
@@ -245,3 +244,11 @@
                 self._do(now_us, action)
         except Exception:
             self._effects.append(ev.Say("the fresh decision module failed too"))
+
+    def _answer_all(self) -> None:
+        """A final answer to whatever is open: a refusal where it is true that trying again is harmless."""
+        for taken in list(self._taken.values()):
+            effect = self.settings.classes[taken.arrival.request_class].effect
+            kind = "refused" if effect == "safe" or not taken.made else "failed"
+            wait_us = self.settings.max_retry_after_us if kind == "refused" else 0
+            self._final(ev.Answer(taken.arrival.request, kind, None, wait_us))  # type: ignore[arg-type]
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -11,13 +11,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from harriertide import api
-from harriertide.config import model
-from harriertide.config.model import Operator
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
 from harriertide.counts import line
@@ -30,14 +28,19 @@
 from harriertide.net.nodes import NodeClient
 from harriertide.net.peers import Peers, address
 from harriertide.net.runtime import Runtime
-from harriertide.objects.service import ObjectService
-from harriertide.settings import Names, from_wire, in_places, names_from_wire
+from harriertide.settings import Names, PlainError, from_wire, in_places, names_from_wire
 
-# After SIGTERM: new connections are taken this long, what is taken is finished within the other.
-ACCEPT_S, FINISH_S = 0.5, 3.4
+if TYPE_CHECKING:  # a broker of the platform does without the object front, and starts the sooner
+    from harriertide.config.model import Operator
+    from harriertide.objects.service import ObjectService
 
+# After SIGTERM: new connections are taken this long. Then those that clients keep are served on, as long as
+# a request may take (LONGEST_S at most) and a little less than SLACK_S more; what is open by then is refused.
+ACCEPT_S, LONGEST_S, SLACK_S = 0.5, 3.0, 0.4
+LAST_S = 0.3  # before that end no further request is taken
 
-class BadConfigError(Exception):
+
+class BadConfigError(PlainError):
     """The configuration cannot be used, in one plain line."""
 
 
@@ -119,6 +122,8 @@
             settings, names, seed = config.settings, config.names, config.seed
             known = config.known
         elif operator is not None:
+            from harriertide.config import model
+
             settings, names = model.settings(operator.state, list(operator.state["grades"])), _LOCAL
             seed, known = time.time_ns(), {"seq": 0, "whole": True, "hosts": []}
         else:
@@ -139,6 +144,8 @@
             self.runtime.watch, self.runtime.tell = self.watch.open, self.peers.tell
             self.runtime.post(ev.Listed(self.directory.read(known, "held")))
         if operator is not None:
+            from harriertide.objects.service import ObjectService
+
             platform = names.plans if config is not None else None
             writes = config.writes if config is not None else ()
             self.objects = ObjectService(operator, self.runtime, self.client, platform, writes)
@@ -213,19 +220,29 @@
         return int(self.servers[place].sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
-        """Not ready; take what still comes for a short while; finish what is taken; close."""
+        """Not ready; take what still comes for a while; finish what is taken; close.
+
+        Clients of a broker that restarts have no other to go to: each request served on a connection that
+        they keep is one that does not fail.
+        """
         loop = asyncio.get_running_loop()
         self.front.ready = False
-        if self.objects is not None:
-            self.objects.front.ready = False
-        finish_by = loop.time() + FINISH_S
+        longest_s = max(kind.deadline_us for kind in self.core.settings.classes) / 1e6
+        finish_by = loop.time() + min(LONGEST_S, longest_s) + SLACK_S
+        log("stopping")
         await _until(loop, loop.time() + ACCEPT_S)
         for listener in self.servers:
             listener.close()
-        self.room.close_idle()  # those at work close after their answer
+        while self._busy() and loop.time() < finish_by - LAST_S:
+            await _until(loop, loop.time() + 0.02)
+        self.front.last = True
+        if self.objects is not None:
+            self.objects.front.ready = False
         while self._busy() and loop.time() < finish_by:
+            self.room.close_idle()  # also what was about to be read the last time; those at work close then
             await _until(loop, loop.time() + 0.02)
-            self.room.close_idle()  # what crossed the end of the accept window was read by now
+        self.runtime.post(ev.Closing())
+        await _until(loop, loop.time() + 0.02)  # the last answers on their way out
         self.room.close()
         if self.watch is not None:
             await self.watch.close()
@@ -248,6 +265,7 @@
         await self.start()
         gc.collect()
         gc.freeze()  # what stands at the start need not be looked through again and again
+        gc.enable()
         await self.stopping.wait()
         await self.stop()
         print(self.counters(), file=sys.stderr, flush=True)
@@ -268,10 +286,14 @@
         await Daemon(config, operator).serve(environment)
 
     try:
-        operator = model.load(objects) if objects else None
+        operator = None
+        if objects:
+            from harriertide.config import model
+
+            operator = model.load(objects)
         config = read_config(environment) if environment.get("LB_CONFIG") or operator is None else None
         asyncio.run(main())
-    except (BadConfigError, model.OperatorFileError, OSError, sqlite3.Error) as fault:
+    except (PlainError, OSError, sqlite3.Error) as fault:
         print(f"harriertide: {fault}", file=sys.stderr)
         return 2
     return 0
--- a/harriertide/net/runtime.py
+++ b/harriertide/net/runtime.py
@@ -77,7 +77,10 @@
     def _flush(self) -> None:
         events, self._events = self._events, []
         for effect in self.core.step(self.clock.now_us(), events):
-            self._perform(effect)
+            try:
+                self._perform(effect)
+            except Exception:  # guards against one broken effect taking the answers of others with it
+                log("an effect failed in the broker itself:\n" + traceback.format_exc())
         for event in events:
             if isinstance(event, (ev.Ended, ev.Left)) and not self.core.holds(event.request):
                 self._jobs.pop(event.request, None)
--- a/harriertide/settings.py
+++ b/harriertide/settings.py
@@ -9,6 +9,10 @@
 
 Fields = dict[str, Any]
 
+
+class PlainError(Exception):
+    """What an operator has given can't be used; one plain line that names the key."""
+
 _EFFECTS = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
 
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -101,6 +101,14 @@
     assert kinds(core.step(START_US, [arrival("t")]), ev.StopAttempt) == [ev.StopAttempt("r", 0)]
 
 
+def test_at_the_end_of_the_process_what_is_open_is_answered_once() -> None:
+    core = Reducer(LONE, 1, Scripted([send()]))
+    core.step(START_US, [HELD, arrival(), arrival("s", 1)])
+    done = kinds(core.step(START_US, [ev.Closing()]), ev.Answer)
+    assert {(e.request, e.kind) for e in done} == {("r", "refused"), ("s", "refused")} and core.owed() == 0
+    assert not kinds(core.step(START_US, [ev.Ended("r", 0, "ok", b"late"), ev.Closing()]), ev.Answer)
+
+
 def test_one_final_answer_whatever_the_module_says_after_it() -> None:
     core = Reducer(LONE, 1, Scripted([send()], [api.Refuse("r"), api.Fail("r")]))
     core.step(START_US, [HELD, arrival()])
