Leave a gap behind attempts that were cut off, and let go of what piles up

Found beside it: attempts written when their time was up already; one stopped in the turn of its start never ended.

Change: the reducer holds the next attempt of an id back 12 ms after a time-out, reset, cancel or error; the final answer never waits. Connections are shut down in the turn in which they are given up. Nothing is written past its time. The client holds an attempt back while another connection is at work for its request and counts it. Every started attempt ends once, also one stopped before it began.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run probe-second-copy
 
 build: .venv/.dev
 
@@ -17,7 +17,11 @@
 	$(PYTHON) -m mypy
 
 test: lint
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n 4 --dist worksteal
+
+# two minutes of attempts with ends of every kind against boxes that read late: docs/measurements/second-copy.md
+probe-second-copy: build
+	$(PYTHON) -m harriertide.lab.second_copy --attempts 200000
 
 run: build
 	exec .venv/bin/python -m harriertide
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -71,12 +71,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the request to the node; ask may_write at the moment of writing; end by stop_at_us."""
+    """Send the request to the node; ask may_write at the moment of writing; end by stop_at_us.
+
+    from_us: no byte leaves before; 0: at once.
+    """
 
     request: str
     attempt: int
     node: str
     stop_at_us: int
+    from_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from harriertide import api
 from harriertide.core import events as ev
@@ -16,6 +17,12 @@
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
 # could not be written this soon after it was decided (a slow connection) goes back as never sent.
 COLD_WRITE_US = 40_000
+# Guards against a second copy at the boxes. An attempt that ended without a whole answer was closed by this
+# broker before the next is written, but its box learns of that when it reads that connection, and it reads
+# its connections in any order, late when it is short of processor. docs/measurements/second-copy.md has how
+# often both lie there together, by this gap.
+SETTLE_US = 12_000
+_UNSETTLED = frozenset({"timeout", "reset", "cancelled", "error"})
 
 
 def _for_module(settings: api.Settings) -> api.Settings:
@@ -26,6 +33,13 @@
     return replace(settings, fall_us=settings.fall_us + COLD_WRITE_US) if settings.fall_us else settings
 
 
+class Decider(Protocol):
+    """A decision module: the project's own, or a scripted one."""
+
+    def decide(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+        """Take what has happened by now; return what to do, in order."""
+
+
 @dataclass(slots=True)
 class Taken:
     """A request from its arrival until it is answered and no attempt of it is out."""
@@ -35,6 +49,8 @@
     out: int = -1  # the attempt that is out; -1: none
     node: str = ""
     sent_us: int = 0
+    stop_us: int = 0  # of the attempt that is out
+    settled_us: int = 0  # the last attempt counts as over at its box from then on
     answered: bool = False
 
 
@@ -45,7 +61,7 @@
         self,
         settings: api.Settings,
         seed: int,
-        scheduler: Callable[[api.Settings, int], Scheduler] = Scheduler,
+        scheduler: Callable[[api.Settings, int], Decider] = Scheduler,
     ) -> None:
         self.settings = settings
         self.counts: Counter[str] = Counter()
@@ -54,6 +70,9 @@
         self._taken: dict[str, Taken] = {}
         self._nodes: dict[str, api.NodeEntry] = {}
         self._effects: list[ev.Effect] = []
+        # Ids that are free again, and from when on: guards against one that is used once more right behind an
+        # attempt that was cut off. Soonest first.
+        self._settling: dict[str, int] = {}
 
     # --- questions, which change nothing -------------------------------------------------------
 
@@ -81,6 +100,8 @@
         node = self._nodes.get(taken.node)
         if node is None or node.state != "live":
             return "full"
+        if now_us >= taken.stop_us:
+            return "full"  # it would be closed at once: nothing ran, and nothing is wrong with the box
         cold = node.started_us > 0 and now_us < node.started_us + self.settings.cold_us
         if cold and now_us - taken.sent_us > COLD_WRITE_US:
             return "connect_failed"
@@ -91,6 +112,8 @@
     def step(self, now_us: int, happened: list[ev.Event]) -> list[ev.Effect]:
         """Take what has happened, in order; return what to do, in order."""
         self._effects = []
+        while self._settling and next(iter(self._settling.values())) <= now_us:
+            del self._settling[next(iter(self._settling))]
         told: list[api.Event] = []
         for event in happened:
             told += self._take(now_us, event)
@@ -125,7 +148,7 @@
             # a front checks holds() first; the first holder of the id keeps its one answer
             self.counts["same_id"] += 1
             return []
-        self._taken[arrival.request] = Taken(arrival)
+        self._taken[arrival.request] = Taken(arrival, settled_us=self._settling.pop(arrival.request, 0))
         return [arrival]
 
     def _end(self, now_us: int, event: ev.Ended) -> list[api.Event]:
@@ -135,10 +158,12 @@
             return []
         self.counts[f"outcome_{event.kind}"] += 1
         node, taken.out = taken.node, -1
+        if event.kind in _UNSETTLED:
+            taken.settled_us = now_us + SETTLE_US
         if event.kind == "ok" and not taken.answered:
             self._answer(taken, ev.Answer(event.request, "served", event.reply))
         if taken.answered:
-            del self._taken[event.request]
+            self._let_go(taken)
         took_us = now_us - taken.sent_us
         return [api.Outcome(event.request, event.attempt, node, event.kind, took_us, taken.answered)]
 
@@ -149,9 +174,16 @@
         self.counts["left"] += 1
         taken.answered = True
         if taken.out < 0:
-            del self._taken[request]
+            self._let_go(taken)
         return [api.Departed(request)]
 
+    def _let_go(self, taken: Taken) -> None:
+        """It is answered and no attempt of it is out."""
+        request = taken.arrival.request
+        del self._taken[request]
+        if taken.settled_us:
+            self._settling[request] = taken.settled_us
+
     def _list(self, news: api.NodeList) -> list[api.Event]:
         self.counts[f"list_{news.kind}"] += 1
         if news.kind in ("whole", "held"):
@@ -208,9 +240,11 @@
             self.counts["turned_back"] += 1
             return [api.Outcome(action.request, number, action.node, "moot", 0, taken.answered)]
         taken.out, taken.node, taken.sent_us = number, action.node, now_us
-        stop_us = min(action.stop_at_us or taken.arrival.give_up_us, taken.arrival.give_up_us)
+        taken.stop_us = min(action.stop_at_us or taken.arrival.give_up_us, taken.arrival.give_up_us)
         self.counts["attempts"] += 1
-        self._effects.append(ev.StartAttempt(action.request, number, action.node, stop_us))
+        from_us = taken.settled_us if taken.settled_us > now_us else 0
+        start = ev.StartAttempt(action.request, number, action.node, taken.stop_us, from_us)
+        self._effects.append(start)
         return []
 
     def _cancel(self, action: api.Cancel) -> None:
@@ -224,7 +258,7 @@
         if taken is not None and not taken.answered:
             self._answer(taken, answer)
             if taken.out < 0:
-                del self._taken[answer.request]
+                self._let_go(taken)
 
     def _answer(self, taken: Taken, answer: ev.Answer) -> None:
         taken.answered = True
--- /dev/null
+++ b/harriertide/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: nothing of the program imports this."""
--- a/harriertide/net/clock.py
+++ b/harriertide/net/clock.py
@@ -21,3 +21,14 @@
     def loop_time(self, at_us: int) -> float:
         """The same moment on the event loop's clock, for timeout_at and call_at."""
         return self._mono + (at_us - self._unix_us) / 1_000_000
+
+
+async def until(at: float) -> None:
+    """Wait for a moment of the loop's clock."""
+    loop = asyncio.get_running_loop()
+    come = asyncio.Event()
+    timer = loop.call_at(at, come.set)
+    try:
+        await come.wait()
+    finally:
+        timer.cancel()
--- a/harriertide/net/lines.py
+++ b/harriertide/net/lines.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import select
+import socket
+from contextlib import suppress
 from enum import Enum
 from typing import Any
 
@@ -48,6 +50,7 @@
         super().__init__(loop)
         self.address, self._pool = address, pool
         self.idle_since = 0.0
+        self.request = ""  # that it is at work for
         self.held = 0  # bytes of its answer that count against the pool's bound
         self.surplus = self.spoilt = False
         self._stall: asyncio.TimerHandle | None = None
@@ -92,6 +95,18 @@
         """Until all that was written is out."""
         await self._drain_helper()
 
+    def abort(self) -> None:
+        """End it in this very turn.
+
+        asyncio closes the descriptor one turn of the loop later. Whatever is written from here on, on any
+        connection, leaves behind the end of this one.
+        """
+        transport = self.transport
+        if transport is not None and (end := transport.get_extra_info("socket")) is not None:
+            with suppress(OSError):  # it is gone already
+                end.shutdown(socket.SHUT_RDWR)
+        super().abort()
+
     @property
     def fit(self) -> bool:
         """Whether another request may go over it: the last answer came whole, and nothing beside it."""
@@ -231,6 +246,7 @@
         self._opening = 0
         self._idle: dict[Line, None] = {}  # longest idle first
         self._by_address: dict[str, list[Line]] = {}
+        self._at_work: dict[str, Line] = {}  # by request
         self._sweeper: asyncio.TimerHandle | None = None
         self._poll = select.poll()
 
@@ -297,12 +313,26 @@
         self._all.add(line)
         return line
 
+    def at_work(self, request: str) -> Line | None:
+        """The connection that an attempt of a request was written to, until it is free or closed."""
+        return self._at_work.get(request)
+
+    def begin(self, line: Line, request: str) -> None:
+        """An attempt is about to be written to it."""
+        line.request = request
+        self._at_work[request] = line
+
+    def _done(self, line: Line) -> None:
+        if self._at_work.get(line.request) is line:
+            del self._at_work[line.request]
+
     def put(self, line: Line) -> None:
         """Back after an exchange: kept if it is fit, else closed."""
         self._let_go(line)
         if not line.fit or len(self) > self.most:
             line.abort()
             return
+        self._done(line)
         self.rest(line)
 
     def rest(self, line: Line) -> None:
@@ -329,6 +359,7 @@
     def drop(self, line: Line) -> None:
         """It is gone."""
         self._let_go(line)
+        self._done(line)
         self._all.discard(line)
         if line in self._idle:
             self._forget(line)
--- a/harriertide/net/nodes.py
+++ b/harriertide/net/nodes.py
@@ -13,6 +13,7 @@
 from aiohttp.streams import StreamReader
 
 from harriertide import api
+from harriertide.net.clock import until
 from harriertide.net.limits import Limits
 from harriertide.net.lines import Line, Pool
 from harriertide.net.runtime import Attempt
@@ -111,6 +112,7 @@
         try:
             async with asyncio.timeout_at(attempt.runtime.clock.loop_time(attempt.stop_at_us)) as limit:
                 first = body if isinstance(body, bytes) else await anext(body)
+                await self._alone(attempt)
                 line = self.pool.take(address)
                 if line is None:  # not "or": a line without a message is an empty queue, and false
                     line = await self._connect(address, attempt, limit)
@@ -120,6 +122,7 @@
                     line = None
                     raise BrokenError(kind)
                 line.ask(_head(method, target, {"Host": "service.internal", **headers}) + first, most)
+                self.pool.begin(line, attempt.request)
                 asked = True
                 if not isinstance(body, bytes):
                     stream = asyncio.get_running_loop().create_task(self._stream(line, body))
@@ -169,6 +172,20 @@
         limit.reschedule(stop_at)
         return line
 
+    async def _alone(self, attempt: Attempt) -> None:
+        """Until no other attempt of the request can be at work any more.
+
+        The reducer starts no attempt before the last one has ended, and its descriptor is closed then. Held
+        to here for certain, as a second copy may run twice what may run once.
+        """
+        if attempt.from_us > attempt.runtime.clock.now_us():
+            await until(attempt.runtime.clock.loop_time(attempt.from_us))
+        while (other := self.pool.at_work(attempt.request)) is not None:
+            self.counts["second_copy_held_back"] += 1
+            if (closed := other.closed) is None:
+                return
+            await asyncio.wait([closed])
+
     async def _stream(self, line: Line, body: AsyncIterator[bytes]) -> None:
         """The rest of a body that passes through."""
         try:
--- a/harriertide/net/process.py
+++ b/harriertide/net/process.py
@@ -21,7 +21,7 @@
 from harriertide.counts import line
 from harriertide.log import adopt_libraries, log
 from harriertide.net.clients import FrontServer, Room, listen
-from harriertide.net.clock import Clock
+from harriertide.net.clock import Clock, until
 from harriertide.net.discovery import Directory, Watch
 from harriertide.net.front import Front, PlatformServer
 from harriertide.net.limits import Limits, read_limits
@@ -230,19 +230,19 @@
         longest_s = max(kind.deadline_us for kind in self.core.settings.classes) / 1e6
         finish_by = loop.time() + min(LONGEST_S, longest_s) + SLACK_S
         log("stopping")
-        await _until(loop, loop.time() + ACCEPT_S)
+        await until(loop.time() + ACCEPT_S)
         for listener in self.servers:
             listener.close()
         while self._busy() and loop.time() < finish_by - LAST_S:
-            await _until(loop, loop.time() + 0.02)
+            await until(loop.time() + 0.02)
         self.front.last = True
         if self.objects is not None:
             self.objects.front.ready = False
         while self._busy() and loop.time() < finish_by:
             self.room.close_idle()  # also what was about to be read the last time; those at work close then
-            await _until(loop, loop.time() + 0.02)
+            await until(loop.time() + 0.02)
         self.runtime.post(ev.Closing())
-        await _until(loop, loop.time() + 0.02)  # the last answers on their way out
+        await until(loop.time() + 0.02)  # the last answers on their way out
         self.room.close()
         if self.watch is not None:
             await self.watch.close()
@@ -271,13 +271,6 @@
         print(self.counters(), file=sys.stderr, flush=True)
 
 
-async def _until(loop: asyncio.AbstractEventLoop, at: float) -> None:
-    """Wait for a moment of the loop's clock."""
-    come: asyncio.Future[None] = loop.create_future()
-    loop.call_at(at, come.set_result, None)
-    await come
-
-
 def run(environment: Mapping[str, str], objects: str | None = None) -> int:
     """Serve as the environment and the operator's file say; 2 with one plain line where it can't be."""
     adopt_libraries()
--- a/harriertide/net/runtime.py
+++ b/harriertide/net/runtime.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 from harriertide import api
@@ -24,6 +25,7 @@
     number: int
     node: str
     stop_at_us: int
+    from_us: int = 0  # not to be written before
 
     def may_write(self) -> api.OutcomeKind | None:
         """None: write now. Else the attempt ends so, with nothing written."""
@@ -54,7 +56,7 @@
         self._loop = asyncio.get_running_loop()
         self._jobs: dict[str, Job] = {}
         self._events: list[ev.Event] = []
-        self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._tasks: dict[tuple[str, int], asyncio.Task[Ending]] = {}
 
     def submit(self, arrival: api.Arrival, job: Job) -> bool:
         """Take a request into the core; False if its id is in use."""
@@ -87,9 +89,12 @@
 
     def _perform(self, effect: ev.Effect) -> None:
         if isinstance(effect, ev.StartAttempt):
-            attempt = Attempt(self, effect.request, effect.attempt, effect.node, effect.stop_at_us)
+            attempt = Attempt(
+                self, effect.request, effect.attempt, effect.node, effect.stop_at_us, effect.from_us
+            )
             task = self._loop.create_task(self._run(self._jobs[effect.request], attempt))
             self._tasks[effect.request, effect.attempt] = task
+            task.add_done_callback(partial(self._ended, attempt))
         elif isinstance(effect, ev.StopAttempt):
             running = self._tasks.get((effect.request, effect.attempt))
             if running is not None:
@@ -108,16 +113,16 @@
         else:
             log(effect.text)
 
-    async def _run(self, job: Job, attempt: Attempt) -> None:
-        """Exactly one Ended for each attempt, whatever the performer does."""
-        kind: api.OutcomeKind = "reset"
-        reply: object = None
+    async def _run(self, job: Job, attempt: Attempt) -> Ending:
         try:
-            kind, reply = await job.attempt(attempt)
-        except asyncio.CancelledError:  # the core has stopped it, at the earliest once it was begun
-            kind = "cancelled"
+            return await job.attempt(attempt)
         except Exception:  # guards against a fault in a performer leaving its request without an answer
             log("an attempt failed in the broker itself:\n" + traceback.format_exc())
-        finally:
-            self._tasks.pop((attempt.request, attempt.number), None)
-            self.post(ev.Ended(attempt.request, attempt.number, kind, reply))
+            return "reset", None
+
+    def _ended(self, attempt: Attempt, task: asyncio.Task[Ending]) -> None:
+        """Exactly one Ended for each attempt, whatever the performer does; also where the core has stopped it
+        before it began."""
+        self._tasks.pop((attempt.request, attempt.number), None)
+        kind, reply = ("cancelled", None) if task.cancelled() else task.result()
+        self.post(ev.Ended(attempt.request, attempt.number, kind, reply))
--- a/harriertide/objects/store.py
+++ b/harriertide/objects/store.py
@@ -15,6 +15,7 @@
 from harriertide.config.model import State
 from harriertide.core import events as ev
 from harriertide.log import log
+from harriertide.net.clock import until
 from harriertide.net.nodes import NodeClient
 from harriertide.net.runtime import Runtime
 from harriertide.objects.catalogue import Catalogue, Piece
@@ -207,9 +208,7 @@
         """Delete strays from their boxes, a few a second, as requests of the core."""
         loop = asyncio.get_running_loop()
         while True:
-            come: asyncio.Future[None] = loop.create_future()
-            loop.call_at(loop.time() + SWEEP_S, come.set_result, None)
-            await come
+            await until(loop.time() + SWEEP_S)
             try:
                 old_ms = self.now_ms() - self.limits["upload_hours"] * 3_600_000
                 for upload in self.catalogue.left_open(old_ms, SWEEP_MOST):
--- a/harriertide/rules.py
+++ b/harriertide/rules.py
@@ -22,6 +22,7 @@
 ROUND_US = 300_000  # between bids; the page's 2 s lets a surge of 5 to 15 s run wild too long
 BID_LIFE_US = 3_200_000  # lost bids and sums are bridged by the last ones so long (thesis, 5.6)
 SMOOTH = 0.5  # weight of the newest round in the demand figures; bids are noisy, surges quick
+REST_US = 60_000_000  # a volume without demand is forgotten after so long at the earliest
 BID_LEAST = 0.1  # demand, in mean requests a second, below which a head bids no more
 LEAD = 2.0  # even parts of a volume's dues that a head takes until it hears: the lead uses more
 # Learned capacity
@@ -76,7 +77,10 @@
         self._active: dict[int, Cell] = {}  # shards with demand here
         self._using: dict[int, Volume] = {}  # volumes with demand here
         self._touched: dict[int, Cell] = {}  # shards where held work may go now
-        self._tallies: dict[tuple[int, int], Tally] = {}  # kept here for all heads
+        self._tallies: dict[int, Tally] = {}  # kept here for all heads, by shard
+        self._uses: dict[int, Tally] = {}  # likewise by volume, the one longest unheard of first
+        self._resting: dict[int, int] = {}  # volumes without demand here: since when, longest first
+        self._lost: dict[str, int] = {}  # nodes that are off the list: since when, longest first
         self._notes: dict[tuple[int, int], list[tuple[int, list[float]]]] = {}
         self._later: list[tuple[int, int, Request | Cell | str | None]] = []
         self._now = self._count = self._wake_us = self._round_us = self._round_end = 0
@@ -95,6 +99,8 @@
         self._usual += [0.0] * (len(settings.classes) - len(self._usual))
         self._aim = min(kind.aim_us for kind in settings.classes)
         self._top = max(k.worth * p.price for k in settings.classes for p in settings.plans) or 1.0
+        fills = [int(SECOND * p.limit_burst / p.limit) for p in settings.plans if p.limit > 0]
+        self._rest_us = max(REST_US, *fills, 0)  # after so long all stores of a volume are full again
 
     def decide(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has happened by now; return what to do, in order."""
@@ -162,13 +168,31 @@
             volume.offer = 0.0
             if volume.rate < least:
                 del self._using[volume.key]
+                self._resting[volume.key] = self._now
             elif pressed:  # dues count only there, and bids on them cost as much as those on shards
                 self._say(self._keepers(volume.key)[0], USE, volume.key, [volume.rate])
+        self._forget()
         mute = self._unheard > 0 and self._now - self._heard_us > BID_LIFE_US
         if mute != self._mute:
             self._mute = mute
             self._actions.append(api.Log("no sums heard: even slices" if mute else "sums heard again"))
 
+    def _forget(self) -> None:
+        """Let go of volumes, sums and nodes once nothing that is known of them can matter any more.
+
+        A volume's stores are full again by then, as those of a new one are; a node's cold time is over, so
+        that one which comes back under its id and start finds no budget spent.
+        """
+        while self._resting and self._now - next(iter(self._resting.values())) > self._rest_us:
+            volume = next(iter(self._resting))
+            del self._resting[volume], self._volumes[volume]
+        while self._uses and self._now - next(iter(self._uses.values())).heard_us > BID_LIFE_US:
+            del self._uses[next(iter(self._uses))]
+        lost_us = self._now - self._s.cold_us - self._s.fall_us - SECOND
+        while self._lost and next(iter(self._lost.values())) < lost_us:
+            node = self._nodes.pop(next(iter(self._lost)))
+            del self._lost[node.id], self._cells[node.shard].nodes[node.id]
+
     def _keepers(self, key: int) -> tuple[int, int]:
         """The head that sums up the bids on a shard or volume, and its standby: the same at every head."""
         first = self._s.head if self._alone else crc32(b"%d" % key) % self._s.heads
@@ -199,14 +223,14 @@
         if kind in (ASK, GIFT) and key in self._cells:
             self._gift(head, kind, key, figures)
         elif kind == USE:
-            tally = self._tallies.setdefault((kind, key), Tally([0.0]))
+            tally = self._uses[key] = self._uses.pop(key, Tally([0.0]))
             tally.put(head, self._now, figures, BID_LIFE_US)
             self._say(head, DUE, key, list(tally.sums))
         elif kind == DUE and key in self._volumes:
             volume = self._volumes[key]
             volume.part = min(1.0, volume.rate / max(0.01, figures[0]))
         elif kind == BID:
-            tally = self._tallies.setdefault((kind, key), Tally([0.0] * 9))
+            tally = self._tallies.setdefault(key, Tally([0.0] * 9))
             tally.put(head, self._now, figures[:9], BID_LIFE_US)
             if not tally.learned:  # a keeper that has restarted, or a standby: what the bidders know
                 tally.capacity = max(tally.capacity, figures[9])
@@ -279,6 +303,7 @@
             # the limit's part starts as just spent: a head may have restarted
             stores = Store(self._s.most_units, self._now), Store(0.0, self._started)
             self._volumes[key] = Volume(key, part, *stores)
+            self._resting[key] = self._now
         load = event.units * self._aim / kind.aim_us
         request = Request(event.request, kind, event, self._volumes[key], self._now, due_us, load)
         self._requests[request.id] = request
@@ -310,6 +335,7 @@
         event, plan = request.arrival, self._s.plans[request.arrival.plan]
         volume = request.volume
         self._using[volume.key] = volume
+        self._resting.pop(volume.key, None)
         volume.offer += event.units
         weight = cell.weights[event.volume] = plan.weight * volume.part
         rate = SHARE_PART * cell.capacity * weight / max(cell.weight_sum, plan.weight)
@@ -354,11 +380,17 @@
         """Queue an admitted request; where more is held than can be in time, the least worth goes."""
         cell = request.cell
         assert cell is not None
+        if not cell.nodes:  # they went while it waited for its turn
+            self._give_up(request)
+            return
         self._count += 1
         heappush(cell.queue, (request.due_us, self._count, request))
         self._touched[cell.shard] = cell
         request.held = True
-        cell.by_band[request.band].append(request)
+        line = cell.by_band[request.band]
+        while line and not line[0].held:
+            line.popleft()
+        line.append(request)
         cell.load += request.load
         # what this head's room there gets through in that part of the aim, by Little's law
         few = FEW * self._s.mean_units
@@ -441,7 +473,9 @@
         if event.kind != "changes":
             named = {entry.node for entry in event.nodes}
             for known in self._nodes.values():
-                known.live = known.live and known.id in named
+                if known.id not in named:
+                    known.live = False
+                    self._lost.setdefault(known.id, self._now)
         for entry in event.nodes:
             node = self._nodes.get(entry.node)
             if node is None:
@@ -459,6 +493,10 @@
             cell = self._cells.setdefault(entry.shard, Cell(entry.shard, BANDS, self._now - BID_LIFE_US))
             cell.nodes[entry.node] = node
             node.live = entry.state == "live"
+            if entry.state == "gone":
+                self._lost.setdefault(node.id, self._now)
+            else:
+                self._lost.pop(node.id, None)
             self._touched[entry.shard] = cell
         for cell in self._cells.values():
             while cell.queue and not any(node.live for node in cell.nodes.values()):
@@ -578,7 +616,7 @@
             return False
         if not request.sent and self._s.plans[event.plan].limit > 0:
             request.volume.limit.units -= event.units
-        if request.sent:
+        if request.sent and self._s.extra_floor is not None:
             self._extra.append(self._now)
         if self._cold(node):
             if self._gifted(node, event.units):
--- a/harriertide/state.py
+++ b/harriertide/state.py
@@ -142,6 +142,7 @@
     """A keeper's sums of the bids on one shard or volume; bids that are not renewed run out."""
 
     sums: list[float]
+    heard_us: int = 0
     rows: dict[int, tuple[int, list[float]]] = field(default_factory=dict)
     capacity: float = 0.0
     learned: bool = False
@@ -154,6 +155,6 @@
         old = [self.rows.pop(head)] if head in self.rows else []
         while self.rows and now_us - next(iter(self.rows.values()))[0] > life_us:
             old.append(self.rows.pop(next(iter(self.rows))))
-        self.rows[head] = (now_us, figures)
+        self.rows[head], self.heard_us = (now_us, figures), now_us
         for i, figure in enumerate(figures):
             self.sums[i] = max(0.0, self.sums[i] + figure - sum(row[i] for _, row in old))
--- /dev/null
+++ b/tests/test_alone.py
@@ -0,0 +1,139 @@
+"""One attempt of a request at a time, at the sockets: what the runtime, the client and its pool hold to."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from harriertide import api
+from harriertide.core import events as ev
+from harriertide.core.reducer import SETTLE_US, Reducer
+from harriertide.lab import second_copy
+from harriertide.net.clock import Clock
+from harriertide.net.limits import read_limits
+from harriertide.net.lines import Line
+from harriertide.net.nodes import NodeClient
+from harriertide.net.runtime import Attempt, Ending, Runtime
+from tests.helpers import SETTINGS
+from tests.scenario import Stand
+from tests.test_reducer import HELD, Scripted
+
+GET = b"GET /api HTTP/1.1\r\nX-Call-Id: r\r\n\r\n"
+
+
+def attempt(runtime: Runtime, number: int = 0, from_us: int = 0) -> Attempt:
+    return Attempt(runtime, "r", number, "n0", runtime.clock.now_us() + 2_000_000, from_us)
+
+
+def beside_a_box(play: Callable[[Runtime, NodeClient, Stand], Awaitable[None]], *script: Any) -> None:
+    """Run with a runtime, a client and one stand-in box; the module is scripted."""
+
+    async def main() -> None:
+        box = Stand()
+        port = await box.start()
+        core = Reducer(SETTINGS, 1, Scripted([], *script))
+        runtime = Runtime(core, Clock(asyncio.get_running_loop()))
+        client = NodeClient({"n0": f"127.0.0.1:{port}"}.get, 500_000, 5_000_000, read_limits({}))
+        core.step(runtime.clock.now_us(), [HELD])
+        try:
+            async with asyncio.timeout(5):
+                await play(runtime, client, box)
+        finally:
+            await client.close()
+            await box.close()
+
+    asyncio.run(main())
+
+
+class Idle:
+    """A request whose attempts last until they are stopped."""
+
+    def __init__(self) -> None:
+        self.begun = 0
+
+    async def attempt(self, attempt: Attempt) -> Ending:
+        self.begun += 1
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    def answer(self, answer: ev.Answer) -> None:
+        pass
+
+
+def arrival(runtime: Runtime) -> api.Arrival:
+    return api.Arrival("r", 0, 0, "v", 0, runtime.clock.now_us() + 2_000_000)
+
+
+def test_the_end_of_a_connection_leaves_in_the_turn_in_which_it_is_given_up() -> None:
+    """asyncio closes the descriptor a turn later; what is written meanwhile must not overtake it."""
+
+    async def play(runtime: Runtime, client: NodeClient, box: Stand) -> None:
+        line = await client.pool.open(client._find("n0") or "")
+        assert isinstance(line, Line)
+        line.ask(GET, None)
+        await box.asked.get()
+        end = box.lines[0].writer.transport.get_extra_info("socket")
+        line.abort()  # and no turn of the loop
+        with socket.socket(fileno=socket.dup(end.fileno())) as seen:
+            assert seen.recv(1, socket.MSG_DONTWAIT) == b""
+
+    beside_a_box(play)
+
+
+def test_an_attempt_is_held_back_while_another_connection_is_at_work_for_its_request() -> None:
+    """Whatever the reducer was told: the guard looks at connections, and counts."""
+
+    async def play(runtime: Runtime, client: NodeClient, box: Stand) -> None:
+        runtime.core.step(runtime.clock.now_us(), [ev.Arrived(arrival(runtime))])
+        line = await client.pool.open(client._find("n0") or "")
+        assert isinstance(line, Line)
+        line.ask(GET, None)
+        client.pool.begin(line, "r")
+        await box.asked.get()
+        second = asyncio.create_task(client.exchange(attempt(runtime), "GET", "/api", {}, b""))
+        await asyncio.sleep(0.05)
+        assert box.asked.empty() and client.counts["second_copy_held_back"] == 1
+        line.abort()
+        asked = await box.asked.get()
+        asked[3].writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        kind, reply = await second
+        assert kind == "ok" and reply is not None and reply.body == b"ok"
+        assert client.pool.at_work("r") is None
+
+    beside_a_box(play, [api.Send("r", "n0", 0)])
+
+
+def test_no_byte_of_an_attempt_leaves_before_its_time() -> None:
+    async def play(runtime: Runtime, client: NodeClient, box: Stand) -> None:
+        runtime.core.step(runtime.clock.now_us(), [ev.Arrived(arrival(runtime))])
+        from_us = runtime.clock.now_us() + 5 * SETTLE_US
+        ends = asyncio.create_task(client.exchange(attempt(runtime, 0, from_us), "GET", "/api", {}, b""))
+        asked = await box.asked.get()
+        assert runtime.clock.now_us() >= from_us
+        asked[3].writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        assert (await ends)[0] == "ok"
+
+    beside_a_box(play, [api.Send("r", "n0", 0)])
+
+
+def test_an_attempt_that_is_stopped_before_it_began_ends_all_the_same() -> None:
+    """Guards against its request, and its node's room, being held for good."""
+
+    async def play(runtime: Runtime, client: NodeClient, box: Stand) -> None:
+        job = Idle()
+        runtime.submit(arrival(runtime), job)
+        while not runtime.core.counts["outcome_cancelled"]:
+            await asyncio.sleep(0)
+        assert job.begun == 0 and not runtime.core.holds("r")
+
+    beside_a_box(play, [api.Send("r", "n0", 0), api.Cancel("r", 0)], [api.Refuse("r")])
+
+
+def test_attempts_with_ends_of_every_kind_are_never_two_at_work_for_one_request() -> None:
+    """The probe of docs/measurements/second-copy.md, in small: a box that is late and reads in any order."""
+    seen = second_copy.look(attempts=6_000, width=64, late_ms=0.5, seed=1)
+    assert seen["attempts"] > 5_000 and all(seen[name] > 20 for name in second_copy.ENDS)
+    assert seen["open"] == 0
+    assert seen["unread"] <= 6  # 60 to 130 of them without the gap
--- /dev/null
+++ b/tests/test_level.py
@@ -0,0 +1,126 @@
+"""A daemon that stays up for weeks must be level: nothing is kept per request, client, volume, node or
+connection beyond its use."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from harriertide import api, rules
+from harriertide.core import events as ev
+from harriertide.core.reducer import Reducer
+from harriertide.net.clock import until
+from harriertide.net.process import Daemon
+from harriertide.notes import USE, encode
+from tests.census import census
+from tests.helpers import SETTINGS, START_US
+from tests.test_net import play
+
+REQUESTS, NODES, STEP_US = 100_000, 2_000, 5_000
+SHARDS, EACH = 4, 3  # nodes of a shard at a time
+MOST = 64  # members of any container at rest
+
+
+def churn(core: Reducer, requests: int, nodes: int, seed: int = 1) -> int:
+    """Requests that end in every way, for volumes that come and go, while each node is replaced in turn."""
+    draw = random.Random(seed)
+    now, made = START_US, 0
+    listed: list[api.NodeEntry] = []
+    out: list[ev.StartAttempt] = []
+
+    def news(kind: str, entry: api.NodeEntry, state: str) -> ev.Event:
+        return ev.Listed(api.NodeList(kind, (replace(entry, state=state),)))  # type: ignore[arg-type]
+
+    for number in range(requests):
+        now += STEP_US
+        happened: list[ev.Event] = []
+        while made < SHARDS * EACH or made * requests < number * nodes:
+            entry = api.NodeEntry(f"n{made}", made % SHARDS, "live", 0, now if made % 5 == 0 else 0)
+            made += 1
+            if len(listed) >= SHARDS * EACH:
+                old = listed.pop(0)
+                happened.append(news("changes", old, "draining"))
+                if made % 3:
+                    happened.append(news("changes", old, "gone"))
+                else:  # it is merely not named any more
+                    happened.append(ev.Listed(api.NodeList("whole", tuple(listed))))
+            listed.append(entry)
+            happened.append(news("changes", entry, "live"))
+        volume, plan = f"v{number // 20}", number % 2
+        happened.append(
+            ev.Arrived(
+                api.Arrival(
+                    f"r{number}", number % 4, plan, volume, draw.randrange(-1, SHARDS), now + 500_000, 2.0,
+                    f"k{number // 3}",
+                )
+            )
+        )  # fmt: skip
+        if draw.random() < 0.02:
+            happened.append(ev.Left(f"r{number - 1}"))
+        if draw.random() < 0.1:  # volumes of other brokers, summed up here
+            for body in encode(USE, [(draw.randrange(2**32), [9.0])]):
+                happened.append(ev.Heard(1, body))
+        while out and (len(out) > 20 or draw.random() < 0.6):
+            ended = out.pop(draw.randrange(len(out)))
+            kind: Any = draw.choice(("ok", "ok", "ok", "error", "full", "timeout", "reset", "cancelled"))
+            happened.append(ev.Ended(ended.request, ended.attempt, kind))
+        out += [e for e in core.step(now, [*happened, ev.Fired(0)]) if isinstance(e, ev.StartAttempt)]
+    for last in range(700):  # at rest
+        now += 200_000
+        ends: list[ev.Event] = [ev.Ended(e.request, e.attempt, "reset") for e in out]
+        held = ev.Listed(api.NodeList("changes", tuple(listed)))
+        done = core.step(now, [*ends, held if not last else ev.Fired(0)])
+        out = [e for e in done if isinstance(e, ev.StartAttempt)]
+    return made
+
+
+def test_requests_volumes_and_nodes_leave_nothing_behind() -> None:
+    core = Reducer(SETTINGS, 1)
+    assert churn(core, REQUESTS, NODES) >= NODES
+    assert core.counts["taken"] == REQUESTS and core.counts["served"] > REQUESTS / 20 and core.owed() == 0
+    assert census(core, MOST) == {}
+
+
+CONNECTIONS, TOGETHER = 20_000, 50
+
+
+def test_connections_leave_nothing_behind(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """New connections and new ids throughout, some kept, some closed by either side, some cut off."""
+
+    async def one(port: int, number: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            if number % 4 == 0:
+                writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 200 " in await reader.readline()
+            elif number % 4 == 1:
+                extent = f"volume={number // 5:016x},units=1,shard=1,hosts=1"
+                writer.write(
+                    f"GET /api?key={number:016x} HTTP/1.1\r\nHost: x\r\nX-Call-Id: c{number}\r\n"
+                    f"X-Call-Class: page-read\r\nX-Storage-Class: gold\r\nX-Budget-Ms: 1\r\n"
+                    f"X-Extent: {extent}\r\n\r\n".encode()
+                )
+                assert b" 503 " in await reader.readline()
+            elif number % 4 == 2:
+                writer.write(b"GET /api HTTP/1.1\r\nX-Pa")
+        finally:
+            writer.transport.abort()
+
+    sizes: list[dict[str, int]] = []
+
+    async def crowd(daemon: Daemon) -> None:
+        port = daemon.port(0)
+        for first in range(0, CONNECTIONS, TOGETHER):
+            await asyncio.gather(*(one(port, number) for number in range(first, first + TOGETHER)))
+        await until(asyncio.get_running_loop().time() + 1.0)  # some rounds
+        sizes.append(census(daemon, MOST))
+
+    monkeypatch.setattr(rules, "REST_US", 100_000)
+    asyncio.run(play("", objects=False, folder=tmp_path, beside=crowd))
+    assert sizes == [{}], json.dumps(sizes)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -182,7 +182,7 @@
     assert 0.2 < volume.part < 0.3
     there = Head(head=keeper, heads=8)
     there.do(api.PeerNote((keeper + 1) % 8, encode(USE, [(key, [30.0])])[0]))
-    assert there.scheduler._tallies[USE, key].sums[0] > 25
+    assert there.scheduler._uses[key].sums[0] > 25
 
 
 def test_a_head_with_less_than_a_few_requests_thins_by_the_chance_of_all() -> None:
@@ -216,9 +216,9 @@
     head = Head(head=KEEPER)
     head.ask()
     head.end("r1", "full")
-    while (BID, 0) not in head.scheduler._tallies:
+    while 0 not in head.scheduler._tallies:
         head.idle(50_000, 10_000)
-    assert head.scheduler._tallies[BID, 0].pressed and not head.scheduler._cells[0].learned
+    assert head.scheduler._tallies[0].pressed and not head.scheduler._cells[0].learned
 
 
 def test_percent_thinning_refuses_about_what_the_tokens_do_not_cover() -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import sqlite3
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -619,8 +620,15 @@
         c expect 200"""
 
 
-async def play(script: str, objects: bool, folder: Path, both: bool = False) -> None:
-    """Run one scenario; whatever it did, the core owes nobody anything at its end."""
+async def play(
+    script: str,
+    objects: bool,
+    folder: Path,
+    both: bool = False,
+    beside: Callable[[Daemon], Awaitable[None]] | None = None,
+) -> None:
+    """Run one scenario, and then what the language has no words for; whatever it did, the core owes nobody
+    anything at its end."""
     stands = {name: Stand() for name in ("b1", "b2", "s", "s2")}
     ports = {name: await stand.start() for name, stand in stands.items()}
     world = World(stands, ports, None)
@@ -678,6 +686,8 @@
         script = "s expect GET /registry/*\ns send 200 Transfer-Encoding=chunked\ns send raw ''\n" + script
     try:
         await world.run(script)
+        if beside is not None:
+            await beside(daemon)
         for client in list(world.clients):
             await world._leave(client, [])
         await asyncio.sleep(0.05)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -7,12 +7,13 @@
 from random import Random
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from harriertide import api
 from harriertide.core import events as ev
-from harriertide.core.reducer import COLD_WRITE_US, Reducer
+from harriertide.core.reducer import COLD_WRITE_US, SETTLE_US, Reducer
 from tests.helpers import SETTINGS, START_US
 
 LONE = replace(SETTINGS, heads=1, may_tell=False)
@@ -82,6 +83,47 @@
     assert core.may_write("r", 0, START_US + COLD_WRITE_US + 1) == "connect_failed"
 
 
+@pytest.mark.parametrize("kind", ["timeout", "reset", "cancelled", "error"])
+def test_after_an_attempt_that_was_cut_off_the_next_leaves_a_gap_behind_its_end(kind: Any) -> None:
+    """Guards against a second copy where a box reads the end of the first connection last."""
+    core = Reducer(LONE, 1, Scripted([send()], [send()], [api.Fail("r")]))
+    first = kinds(core.step(START_US, [HELD, arrival()]), ev.StartAttempt)
+    assert first == [ev.StartAttempt("r", 0, "n0", START_US + 500_000, 0)]
+    now = START_US + 30_000
+    again = kinds(core.step(now, [ev.Ended("r", 0, kind)]), ev.StartAttempt)
+    assert [start.from_us for start in again] == [now + SETTLE_US]
+    # the final answer waits for nothing
+    assert [e.kind for e in kinds(core.step(now, [ev.Ended("r", 1, kind)]), ev.Answer)] == ["failed"]
+
+
+def test_an_id_used_once_more_keeps_the_gap_of_its_first_holder() -> None:
+    core = Reducer(LONE, 1, Scripted([send()], [], [], [send()], [], [send()]))
+    core.step(START_US, [HELD, arrival()])
+    core.step(START_US, [ev.Left("r")])
+    core.step(START_US + 1, [ev.Ended("r", 0, "cancelled")])
+    again = kinds(core.step(START_US + 2, [arrival()]), ev.StartAttempt)
+    assert [start.from_us for start in again] == [START_US + 1 + SETTLE_US]
+    core.step(START_US + 3, [ev.Ended("r", 0, "ok", b"")])
+    later = kinds(core.step(START_US + 2 * SETTLE_US, [arrival()]), ev.StartAttempt)
+    assert [start.from_us for start in later] == [0]
+
+
+@pytest.mark.parametrize("kind", ["full", "connect_failed"])
+def test_after_an_attempt_that_never_ran_the_next_goes_at_once(kind: Any) -> None:
+    core = Reducer(LONE, 1, Scripted([send()], [send()]))
+    core.step(START_US, [HELD, arrival()])
+    again = kinds(core.step(START_US + 1, [ev.Ended("r", 0, kind)]), ev.StartAttempt)
+    assert [start.from_us for start in again] == [0]
+
+
+def test_an_attempt_whose_time_is_up_is_not_written() -> None:
+    """Guards against a request that is written and closed in one breath, which may run beside the next."""
+    core = Reducer(LONE, 1, Scripted([send()]))
+    core.step(START_US, [HELD, arrival()])
+    assert core.may_write("r", 0, START_US + 499_999) is None
+    assert core.may_write("r", 0, START_US + 500_000) == "full"
+
+
 def test_nothing_is_written_for_a_client_that_left_but_its_outcome_is_heard() -> None:
     module = Scripted([send()])
     core = Reducer(LONE, 1, module)
