--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run probe-second-copy
+.PHONY: build test lint run demo probe-second-copy
 
 build: .venv/.dev
 
@@ -23,5 +23,10 @@
 probe-second-copy: build
 	$(PYTHON) -m harriertide.lab.second_copy --attempts 200000
 
+# stand-in boxes, daemon and object front on loopback, until Ctrl-C
+demo: build
+	exec .venv/bin/python -m harriertide demo
+
+# one broker as LB_CONFIG says
 run: build
 	exec .venv/bin/python -m harriertide
--- /dev/null
+++ b/harriertide/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, and what starts everything."""
--- a/harriertide/benchlink.py
+++ b/harriertide/cli/benchlink.py
@@ -11,9 +11,9 @@
 
 import orjson
 
-from harriertide import api
-from harriertide.rules import Scheduler
-from harriertide.settings import Fields, from_wire
+from harriertide.decide import api
+from harriertide.decide.rules import Scheduler
+from harriertide.decide.settings import Fields, from_wire
 
 _KINDS = {
     0: "ok", 5: "error", 11: "full", 110: "timeout", 111: "connect_failed",
--- a/harriertide/net/process.py
+++ b/harriertide/cli/daemon.py
@@ -15,20 +15,20 @@
 
 import orjson
 
-from harriertide import api
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
-from harriertide.counts import line
-from harriertide.log import adopt_libraries, log
-from harriertide.net.clients import FrontServer, Room, listen
-from harriertide.net.clock import Clock, until
-from harriertide.net.discovery import Directory, Watch
-from harriertide.net.front import Front, PlatformServer
-from harriertide.net.limits import Limits, read_limits
-from harriertide.net.nodes import NodeClient
-from harriertide.net.peers import Peers, address
-from harriertide.net.runtime import Runtime
-from harriertide.settings import Names, PlainError, from_wire, in_places, names_from_wire
+from harriertide.decide import api
+from harriertide.decide.settings import Names, PlainError, from_wire, in_places, names_from_wire
+from harriertide.engine.clock import Clock, until
+from harriertide.engine.counts import fields
+from harriertide.engine.log import adopt_libraries, log
+from harriertide.engine.runtime import Runtime
+from harriertide.http.clients import FrontServer, Room, listen
+from harriertide.http.limits import Limits, read_limits
+from harriertide.http.nodes import NodeClient
+from harriertide.platform.discovery import Directory, Watch
+from harriertide.platform.front import Front, PlatformServer
+from harriertide.platform.peers import Peers, address
 
 if TYPE_CHECKING:  # a broker of the platform does without the object front, and starts the sooner
     from harriertide.config.model import Operator
@@ -163,13 +163,13 @@
         """
         held = self.config
         if held is None or self.watch is None or self.peers is None:
-            log("reload: there is no configuration file; plan and apply change the operator's")
+            log("nothing to reload", reason="no configuration file; plan and apply change the operator's")
             return
         try:
             fresh = read_config(environment, held)
             self.peers.relist(fresh.peers, fresh.settings.head)
         except (BadConfigError, ValueError) as fault:
-            log(f"reload: {fault}; what was configured before stays in force")
+            log("reload refused, what was configured before stays in force", reason=str(fault))
             return
         self.config = fresh
         names = fresh.names
@@ -183,18 +183,18 @@
         if fresh.discovery != self.watch.address:
             self.watch.move(fresh.discovery)
         if (fresh.listen, fresh.peer_listen) != (held.listen, held.peer_listen):
-            log("reload: listen and peer_listen take effect at the next start")
-        log("reload: the configuration file is in force")
+            log("listen and peer_listen take effect at the next start")
+        log("reloaded, the configuration file is in force")
 
-    def counters(self) -> str:
-        """All counts as one line."""
+    def counters(self) -> dict[str, int]:
+        """All counts, by part and name."""
         parts = {"core": self.core.counts, "front": self.front.counts, "boxes": self.client.counts}
         parts["clients"] = self.room.counts
         if self.watch is not None and self.peers is not None:
             parts |= {"watch": self.watch.counts, "peers": self.peers.counts}
         if self.objects is not None:
             parts |= self.objects.counts()
-        return line(parts)
+        return fields(parts)
 
     async def start(self) -> None:
         """Bring the sockets up."""
@@ -213,7 +213,7 @@
 
     async def _listen(self, at: tuple[str, int], web_server: FrontServer) -> None:
         self.servers.append(await listen(at, web_server))
-        log(f"serves on {at[0]}:{self.port(-1)}")
+        log("serves", on=f"{at[0]}:{self.port(-1)}")
 
     def port(self, place: int) -> int:
         """The port of a listener, where the system chose it."""
@@ -261,14 +261,14 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload, environment)
-        loop.add_signal_handler(signal.SIGUSR1, lambda: log(self.counters()))
+        loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", **self.counters()))
         await self.start()
         gc.collect()
         gc.freeze()  # what stands at the start need not be looked through again and again
         gc.enable()
         await self.stopping.wait()
         await self.stop()
-        print(self.counters(), file=sys.stderr, flush=True)
+        log.last("counters", **self.counters())
 
 
 def run(environment: Mapping[str, str], objects: str | None = None) -> int:
--- /dev/null
+++ b/harriertide/cli/lab.py
@@ -0,0 +1,25 @@
+"""Experiments.
+
+Usage: harriertide lab EXPERIMENT [ARGUMENT ...]
+
+Experiments:
+  second-copy  look for second copies on real sockets; see docs/measurements/second-copy.md
+"""
+
+from __future__ import annotations
+
+from importlib import import_module
+from typing import Any
+
+from harriertide.decide.settings import PlainError
+
+EXPERIMENTS = {"second-copy": "second_copy"}
+
+
+def main(given: dict[str, Any]) -> int:
+    """Run one."""
+    if given["EXPERIMENT"] not in EXPERIMENTS:
+        raise PlainError(f"lab: {given['EXPERIMENT']}: no such experiment; there is {', '.join(EXPERIMENTS)}")
+    # by name: experiments start whole daemons, so their floor is above this one
+    module = import_module(f"harriertide.lab.{EXPERIMENTS[given['EXPERIMENT']]}")
+    return int(module.main(given["ARGUMENT"]))
--- /dev/null
+++ b/harriertide/cli/serve.py
@@ -0,0 +1,26 @@
+"""Serve as LB_CONFIG says, and the object front as FILE says.
+
+Usage: harriertide serve [--objects FILE] [--log FORM]
+
+Options:
+  --objects FILE  the operator's file of the object front
+  --log FORM      text (key=value) or json [default: text]
+"""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+from harriertide.decide.settings import PlainError
+
+
+def main(given: dict[str, Any]) -> int:
+    """Until it is told to stop."""
+    if given["--log"] not in ("text", "json"):
+        raise PlainError(f"--log: {given['--log']} is neither text nor json")
+    from harriertide.cli.daemon import run
+    from harriertide.engine.log import log
+
+    log.shape(given["--log"])
+    return run(os.environ, given["--objects"])
--- /dev/null
+++ b/harriertide/cli/version.py
@@ -0,0 +1,14 @@
+"""Print the version.
+
+Usage: harriertide version
+"""
+
+from __future__ import annotations
+
+from harriertide import __version__
+
+
+def main(given: dict[str, object]) -> int:
+    """One line."""
+    print(f"harriertide {__version__}")
+    return 0
--- a/harriertide/config/model.py
+++ b/harriertide/config/model.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from harriertide import api
-from harriertide.settings import PlainError
+from harriertide.decide import api
+from harriertide.decide.settings import PlainError
 
 Row = dict[str, Any]
 State = dict[str, dict[str, Any]]
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Literal, TypeAlias
 
-from harriertide import api
+from harriertide.decide import api
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -1,4 +1,4 @@
-"""All changes of state: events in, effects out. The decisions are the module's (harriertide/rules.py);
+"""All changes of state: events in, effects out. The decisions are the module's (harriertide/decide/rules.py);
 this owns the requests, their attempts and their final answers, and keeps the rules about those even
 where the module or a front errs."""
 
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from harriertide import api
 from harriertide.core import events as ev
-from harriertide.rules import Scheduler
+from harriertide.decide import api
+from harriertide.decide.rules import Scheduler
 
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
 # could not be written this soon after it was decided (a slow connection) goes back as never sent.
--- /dev/null
+++ b/harriertide/decide/__init__.py
@@ -0,0 +1,1 @@
+"""The decision module: events in, actions out; pure."""
--- a/harriertide/rules.py
+++ b/harriertide/decide/rules.py
@@ -1,4 +1,4 @@
-"""The decision module of harriertide. Its interface, types, events and actions, is harriertide/api.py.
+"""The decision module of harriertide. Its interface, types, events and actions, is harriertide/decide/api.py.
 
 The ordinary path: every round each head tells the shard's keeper (a head found by a stable hash,
 the next is its standby) the units offered to it and served through it, the bid, and hears the sums;
@@ -14,9 +14,9 @@
 from random import Random
 from zlib import crc32
 
-from harriertide import api
-from harriertide.notes import ASK, BID, DUE, GIFT, SUM, USE, decode, encode
-from harriertide.state import Cell, Line, Node, Request, Store, Tally, Volume
+from harriertide.decide import api
+from harriertide.decide.notes import ASK, BID, DUE, GIFT, SUM, USE, decode, encode
+from harriertide.decide.state import Cell, Line, Node, Request, Store, Tally, Volume
 
 # Rounds and bids
 ROUND_US = 300_000  # between bids; the page's 2 s lets a surge of 5 to 15 s run wild too long
--- a/harriertide/settings.py
+++ b/harriertide/decide/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from harriertide import api
+from harriertide.decide import api
 
 Fields = dict[str, Any]
 
--- a/harriertide/state.py
+++ b/harriertide/decide/state.py
@@ -1,11 +1,11 @@
-"""What a head knows: records that harriertide/rules.py keeps. They decide nothing."""
+"""What a head knows: records that harriertide/decide/rules.py keeps. They decide nothing."""
 
 from __future__ import annotations
 
 from collections import deque
 from dataclasses import dataclass, field
 
-from harriertide import api
+from harriertide.decide import api
 
 
 @dataclass(slots=True, eq=False)
--- a/harriertide/net/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -9,11 +9,11 @@
 from functools import partial
 from typing import Protocol
 
-from harriertide import api
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
-from harriertide.log import log
-from harriertide.net.clock import Clock
+from harriertide.decide import api
+from harriertide.engine.clock import Clock
+from harriertide.engine.log import log
 
 
 @dataclass(slots=True)
@@ -82,7 +82,7 @@
             try:
                 self._perform(effect)
             except Exception:  # guards against one broken effect taking the answers of others with it
-                log("an effect failed in the broker itself:\n" + traceback.format_exc())
+                log("an effect failed in the broker itself", trace=traceback.format_exc())
         for event in events:
             if isinstance(event, (ev.Ended, ev.Left)) and not self.core.holds(event.request):
                 self._jobs.pop(event.request, None)
@@ -111,13 +111,13 @@
         elif isinstance(effect, ev.OpenWatch):
             self.watch()
         else:
-            log(effect.text)
+            log("core", text=effect.text)
 
     async def _run(self, job: Job, attempt: Attempt) -> Ending:
         try:
             return await job.attempt(attempt)
         except Exception:  # guards against a fault in a performer leaving its request without an answer
-            log("an attempt failed in the broker itself:\n" + traceback.format_exc())
+            log("an attempt failed in the broker itself", trace=traceback.format_exc())
             return "reset", None
 
     def _ended(self, attempt: Attempt, task: asyncio.Task[Ending]) -> None:
--- a/harriertide/net/clients.py
+++ b/harriertide/http/clients.py
@@ -16,7 +16,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from harriertide.net.limits import Limits
+from harriertide.http.limits import Limits
 
 # A request must have come whole this long after its connection was accepted, later ones after their first
 # byte: guards against connections that say nothing, and heads and bodies that never end.
--- a/harriertide/net/lines.py
+++ b/harriertide/http/lines.py
@@ -20,7 +20,7 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
-from harriertide.net.limits import Limits
+from harriertide.http.limits import Limits
 
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
--- a/harriertide/net/nodes.py
+++ b/harriertide/http/nodes.py
@@ -12,11 +12,11 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 
-from harriertide import api
-from harriertide.net.clock import until
-from harriertide.net.limits import Limits
-from harriertide.net.lines import Line, Pool
-from harriertide.net.runtime import Attempt
+from harriertide.decide import api
+from harriertide.engine.clock import until
+from harriertide.engine.runtime import Attempt
+from harriertide.http.limits import Limits
+from harriertide.http.lines import Line, Pool
 
 Body = bytes | AsyncIterator[bytes]
 KEEP_PART = 0.5  # of the node's idle time: a request that crosses its close would end as a reset
--- a/harriertide/lab/second_copy.py
+++ b/harriertide/lab/second_copy.py
@@ -37,14 +37,14 @@
 
 from docopt import docopt
 
-from harriertide import api
 from harriertide.core import events as ev
 from harriertide.core import reducer
 from harriertide.core.reducer import Reducer
-from harriertide.net.clock import Clock
-from harriertide.net.limits import Limits
-from harriertide.net.nodes import NodeClient
-from harriertide.net.runtime import Attempt, Ending, Runtime
+from harriertide.decide import api
+from harriertide.engine.clock import Clock
+from harriertide.engine.runtime import Attempt, Ending, Runtime
+from harriertide.http.limits import Limits
+from harriertide.http.nodes import NodeClient
 
 BOXES = 4
 DEADLINE_US, STOP_US = 2_000_000, 150_000
--- /dev/null
+++ b/harriertide/library/__init__.py
@@ -0,0 +1,1 @@
+"""The broker inside an application."""
--- a/harriertide/middleware.py
+++ b/harriertide/library/middleware.py
@@ -1,7 +1,7 @@
 """Middleware for aiohttp.web: an application's requests go through the same core as those of the daemon.
 
     from aiohttp import web
-    from harriertide import middleware
+    from harriertide.library import middleware
 
     guard = middleware.Guard(settings, boxes, describe)
     app = web.Application(middlewares=[guard.middleware])
@@ -24,11 +24,11 @@
 
 from aiohttp import web
 
-from harriertide import api
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
-from harriertide.net.clock import Clock
-from harriertide.net.runtime import Attempt, Ending, Runtime
+from harriertide.decide import api
+from harriertide.engine.clock import Clock
+from harriertide.engine.runtime import Attempt, Ending, Runtime
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 BOX = web.RequestKey("harriertide.box", str)
--- a/harriertide/objects/catalogue.py
+++ b/harriertide/objects/catalogue.py
@@ -6,19 +6,22 @@
 
 import json
 import sqlite3
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from hashlib import md5
 
 _SCHEMA = """
 create table if not exists objects (
   id integer primary key, bucket text not null, key text not null, etag text not null,
-  type text not null, size integer not null, modified_ms integer not null, unique (bucket, key));
+  type text not null, size integer not null, modified_ms integer not null,
+  headers text not null default '{}', unique (bucket, key));
 create table if not exists pieces (
   object integer not null, place integer not null, blob text not null, box text not null,
   shard integer not null, size integer not null, tag text not null, primary key (object, place));
 create table if not exists uploads (
   id text primary key, bucket text not null, key text not null, type text not null,
-  state text not null, etag text not null, asked text not null, began_ms integer not null);
+  state text not null, etag text not null, asked text not null, began_ms integer not null,
+  headers text not null default '{}');
 create table if not exists parts (
   upload text not null, number integer not null, blob text not null, box text not null,
   shard integer not null, size integer not null, tag text not null, md5 text not null,
@@ -49,6 +52,7 @@
     size: int
     modified_ms: int
     pieces: tuple[Piece, ...]
+    headers: dict[str, str] = field(default_factory=dict)  # given back with it
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +76,7 @@
     state: str
     etag: str
     asked: tuple[tuple[int, str], ...]
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 class Catalogue:
@@ -82,6 +87,10 @@
         self._db.execute("pragma journal_mode = wal")
         self._db.execute("pragma synchronous = normal")
         self._db.executescript(_SCHEMA)
+        for table in ("objects", "uploads"):  # files of versions that kept no headers
+            names = [row[1] for row in self._db.execute(f"pragma table_info({table})")]
+            if "headers" not in names:
+                self._db.execute(f"alter table {table} add column headers text not null default '{{}}'")
         # what was on its way when an earlier process ended belongs to nobody
         self._db.execute("update strays set pending = 0")
 
@@ -122,7 +131,7 @@
     def find(self, bucket: str, key: str) -> Stored | None:
         """An object with its pieces in order."""
         row = self._db.execute(
-            "select id, etag, type, size, modified_ms from objects where bucket = ? and key = ?",
+            "select id, etag, type, size, modified_ms, headers from objects where bucket = ? and key = ?",
             (bucket, key),
         ).fetchone()
         if row is None:
@@ -130,18 +139,33 @@
         pieces = self._db.execute(
             "select blob, box, shard, size, tag from pieces where object = ? order by place", (row[0],)
         )
-        return Stored(row[1], row[2], row[3], row[4], tuple(Piece(*piece) for piece in pieces))
+        held = tuple(Piece(*piece) for piece in pieces)
+        return Stored(row[1], row[2], row[3], row[4], held, json.loads(row[5]))
 
-    def put(self, bucket: str, key: str, stored: Stored) -> None:
-        """Make this the object under the key; the pieces of the one before become strays."""
+    def etag(self, bucket: str, key: str) -> str | None:
+        """Of the object under a key; None where there is none."""
+        named = "select etag from objects where bucket = ? and key = ?"
+        row = self._db.execute(named, (bucket, key)).fetchone()
+        return None if row is None else str(row[0])
+
+    def put(
+        self, bucket: str, key: str, stored: Stored, check: Callable[[str | None], None] = lambda etag: None
+    ) -> None:
+        """Make this the object under the key; the pieces of the one before become strays.
+
+        check: told the ETag of what is there, within the same transaction; nothing changes where it raises.
+        """
         with _Whole(self._db):
+            check(self.etag(bucket, key))
             self._put(bucket, key, stored)
 
     def _put(self, bucket: str, key: str, stored: Stored) -> None:
         self._remove(bucket, key)
         cursor = self._db.execute(
-            "insert into objects (bucket, key, etag, type, size, modified_ms) values (?, ?, ?, ?, ?, ?)",
-            (bucket, key, stored.etag, stored.type, stored.size, stored.modified_ms),
+            "insert into objects (bucket, key, etag, type, size, modified_ms, headers)"
+            " values (?, ?, ?, ?, ?, ?, ?)",
+            (bucket, key, stored.etag, stored.type, stored.size, stored.modified_ms,
+             json.dumps(stored.headers)),
         )
         rows = [
             (cursor.lastrowid, place, p.blob, p.box, p.shard, p.size, p.tag)
@@ -166,22 +190,24 @@
 
     # --- uploads -------------------------------------------------------------------------------
 
-    def begin(self, upload: str, bucket: str, key: str, kind: str, now_ms: int) -> None:
-        """An upload has been asked for."""
-        row = (upload, bucket, key, kind, now_ms)
-        self._db.execute("insert into uploads values (?, ?, ?, ?, 'open', '', '[]', ?)", row)
+    def begin(
+        self, upload: str, bucket: str, key: str, kind: str, headers: dict[str, str], now_ms: int
+    ) -> None:
+        """An upload has been asked for. headers: given back with the object that comes of it."""
+        row = (upload, bucket, key, kind, now_ms, json.dumps(headers))
+        self._db.execute("insert into uploads values (?, ?, ?, ?, 'open', '', '[]', ?, ?)", row)
 
     def upload(self, upload: str, bucket: str, key: str) -> Upload | None:
         """An upload of this key, whatever its state."""
         row = self._db.execute(
-            "select id, bucket, key, type, state, etag, asked from uploads"
+            "select id, bucket, key, type, state, etag, asked, headers from uploads"
             " where id = ? and bucket = ? and key = ?",
             (upload, bucket, key),
         ).fetchone()
         if row is None:
             return None
         asked = tuple((number, etag) for number, etag in json.loads(row[6]))
-        return Upload(row[0], row[1], row[2], row[3], row[4], row[5], asked)
+        return Upload(row[0], row[1], row[2], row[3], row[4], row[5], asked, json.loads(row[7]))
 
     def left_open(self, before_ms: int, most: int) -> list[Upload]:
         """Uploads that began before then and are still open."""
@@ -226,7 +252,8 @@
             kept = {part.piece.blob for part in chosen}
             rest = [part.piece for part in self.parts(upload.id) if part.piece.blob not in kept]
             pieces = tuple(part.piece for part in chosen)
-            self._put(upload.bucket, upload.key, Stored(etag, upload.type, size, now_ms, pieces))
+            stored = Stored(etag, upload.type, size, now_ms, pieces, upload.headers)
+            self._put(upload.bucket, upload.key, stored)
             self._stray(upload.bucket, [(piece.blob, piece.box, piece.shard) for piece in rest])
             self._db.execute("delete from parts where upload = ?", (upload.id,))
             self._db.execute(
--- a/harriertide/objects/front.py
+++ b/harriertide/objects/front.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from harriertide.log import log
+from harriertide.engine.log import log
 from harriertide.objects import multipart, s3
 from harriertide.objects.catalogue import Piece, Stored
 from harriertide.objects.jobs import Source
@@ -102,7 +102,7 @@
         except S3Error as error:
             fault = error
         except sqlite3.Error as broken:  # a full or failing disk under the catalogue
-            log(f"catalogue: {broken}")
+            log("catalogue failed", reason=str(broken))
             fault = S3Error("InternalError", "The catalogue could not be read or written")
         resource = request.raw_path.partition("?")[0]
         return s3.error_answer(fault, resource, call_id, request.method == "HEAD")
@@ -177,10 +177,17 @@
         return piece, source
 
     async def _put(self, call: Call) -> web.StreamResponse:
+        headers, catalogue = call.request.headers, self._store.catalogue
+        kept, allowed = s3.kept_headers(headers), s3.precondition(headers)
+        allowed.check(catalogue.etag(call.bucket, call.key))  # before the body, and once more at the change
         piece, source = await self._store_body(call)
-        kind = call.request.headers.get("Content-Type", "binary/octet-stream")
-        stored = Stored(source.md5, kind, source.size, self._store.now_ms(), (piece,))
-        self._store.catalogue.put(call.bucket, call.key, stored)
+        kind = headers.get("Content-Type", "binary/octet-stream")
+        stored = Stored(source.md5, kind, source.size, self._store.now_ms(), (piece,), kept)
+        try:
+            catalogue.put(call.bucket, call.key, stored, allowed.check)
+        except S3Error:
+            self._store.drop(piece.blob)
+            raise
         return web.Response(status=200, headers={"ETag": f'"{source.md5}"'})
 
     async def _put_part(self, call: Call, upload_id: str) -> web.StreamResponse:
@@ -200,6 +207,7 @@
             "ETag": f'"{stored.etag}"',
             "Last-Modified": s3.http_date(stored.modified_ms),
             "Accept-Ranges": "bytes",
+            **stored.headers,
         }
         unchanged, asked = s3.conditions(call.request.headers, stored.etag, stored.modified_ms)
         if unchanged:
--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -9,10 +9,10 @@
 
 import aiohttp
 
-from harriertide import api
 from harriertide.core import events as ev
-from harriertide.net.nodes import BODY_BYTES, Body, BrokenError, Incoming, NodeClient, outcome
-from harriertide.net.runtime import Attempt, Ending
+from harriertide.decide import api
+from harriertide.engine.runtime import Attempt, Ending
+from harriertide.http.nodes import BODY_BYTES, Body, BrokenError, Incoming, NodeClient, outcome
 
 CHUNK_BYTES = 64 * 1024
 
--- a/harriertide/objects/multipart.py
+++ b/harriertide/objects/multipart.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from harriertide.objects.catalogue import Part, Piece, Upload
-from harriertide.objects.s3 import PARTS_MOST, S3Error, iso_date, tree, xml
+from harriertide.objects.s3 import PARTS_MOST, S3Error, iso_date, kept_headers, tree, xml
 from harriertide.objects.store import Store
 
 PAGE = 1000
@@ -28,7 +28,7 @@
     """CreateMultipartUpload."""
     upload = token_hex(16)
     kind = headers.get("Content-Type", "binary/octet-stream")
-    store.catalogue.begin(upload, bucket, key, kind, store.now_ms())
+    store.catalogue.begin(upload, bucket, key, kind, kept_headers(headers), store.now_ms())
     rows = [("Bucket", bucket), ("Key", key), ("UploadId", upload)]
     return xml(tree("InitiateMultipartUploadResult", rows))
 
--- a/harriertide/objects/s3.py
+++ b/harriertide/objects/s3.py
@@ -29,6 +29,7 @@
     "InvalidURI": 400,
     "KeyTooLongError": 400,
     "MalformedXML": 400,
+    "MetadataTooLarge": 400,
     "MethodNotAllowed": 405,
     "MissingContentLength": 411,
     "NoSuchBucket": 404,
@@ -135,10 +136,59 @@
     return f'"{etag}"' in tags or etag in tags or (weak and f'W/"{etag}"' in tags)
 
 
+META = "x-amz-meta-"
+META_BYTES = 2048  # of names and values, as the interface has it
+_KEPT = ("Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language", "Expires")
+
+
+def kept_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """What a client wants back with its object: its own metadata, and the headers kept for it."""
+    kept = {name: headers[name] for name in _KEPT if name in headers}
+    meta: dict[str, str] = {}
+    for name, value in headers.items():
+        if name.lower().startswith(META):  # of one name twice, both count
+            meta[name.lower()] = f"{meta[name.lower()]},{value}" if name.lower() in meta else value
+    try:
+        size = sum(len(name) - len(META) + len(value.encode()) for name, value in meta.items())
+        any(value.encode() for value in kept.values())
+    except UnicodeEncodeError:  # bytes that are no UTF-8 can't be given back unchanged
+        raise S3Error("InvalidArgument", "Headers kept with an object must be UTF-8") from None
+    if size > META_BYTES:
+        raise S3Error("MetadataTooLarge", "Your metadata headers exceed the maximum allowed metadata size")
+    return kept | meta
+
+
+@dataclass(frozen=True, slots=True)
+class Precondition:
+    """When a write may take the place of what is there: If-Match and If-None-Match."""
+
+    match: str | None
+    none_match: str | None
+
+    def check(self, etag: str | None) -> None:
+        """PreconditionFailed unless it holds for what is there; NoSuchKey for If-Match on nothing."""
+        if self.match is not None:
+            if etag is None:
+                raise S3Error("NoSuchKey", "The specified key does not exist.")
+            if not _matches(self.match, etag, weak=False):
+                raise _unmet()
+        if self.none_match is not None and etag is not None and _matches(self.none_match, etag, weak=True):
+            raise _unmet()
+
+
+def precondition(headers: Mapping[str, str]) -> Precondition:
+    """As the headers of a write say."""
+    return Precondition(headers.get("If-Match"), headers.get("If-None-Match"))
+
+
+def _unmet() -> S3Error:
+    return S3Error("PreconditionFailed", "At least one of the preconditions did not hold")
+
+
 def conditions(headers: Mapping[str, str], etag: str, modified_ms: int) -> tuple[bool, str | None]:
     """Whether the answer is 304, and the Range that counts. PreconditionFailed by If-Match."""
     if "If-Match" in headers and not _matches(headers["If-Match"], etag, weak=False):
-        raise S3Error("PreconditionFailed", "At least one of the preconditions did not hold")
+        raise _unmet()
     if "If-None-Match" in headers and _matches(headers["If-None-Match"], etag, weak=True):
         return True, None
     asked = headers.get("Range")
--- a/harriertide/objects/service.py
+++ b/harriertide/objects/service.py
@@ -5,14 +5,14 @@
 import asyncio
 from collections import Counter
 
-from harriertide import api
 from harriertide.config import model
 from harriertide.config.admin import Admin
 from harriertide.config.model import Operator, OperatorFileError, State
 from harriertide.core import events as ev
-from harriertide.net.clients import FrontServer, Room, server
-from harriertide.net.nodes import NodeClient
-from harriertide.net.runtime import Runtime
+from harriertide.decide import api
+from harriertide.engine.runtime import Runtime
+from harriertide.http.clients import FrontServer, Room, server
+from harriertide.http.nodes import NodeClient
 from harriertide.objects.catalogue import Catalogue
 from harriertide.objects.front import ObjectFront
 from harriertide.objects.store import Kinds, Store
--- a/harriertide/objects/store.py
+++ b/harriertide/objects/store.py
@@ -11,13 +11,13 @@
 
 import aiohttp
 
-from harriertide import api
 from harriertide.config.model import State
 from harriertide.core import events as ev
-from harriertide.log import log
-from harriertide.net.clock import until
-from harriertide.net.nodes import NodeClient
-from harriertide.net.runtime import Runtime
+from harriertide.decide import api
+from harriertide.engine.clock import until
+from harriertide.engine.log import log
+from harriertide.engine.runtime import Runtime
+from harriertide.http.nodes import NodeClient
 from harriertide.objects.catalogue import Catalogue, Piece
 from harriertide.objects.jobs import (
     CHUNK_BYTES,
@@ -138,6 +138,8 @@
         if self._held + size > limits["repeat_total_kb"] * 1024:
             self.counts["buffers_full"] += 1
             raise slow_down(self._runtime.core.settings.max_retry_after_us)
+        if size == 0:
+            return Held(b"")
         self._held += size
         try:
             return Held(await content.readexactly(size))
@@ -217,7 +219,7 @@
                 for bucket, blob, box, shard in self.catalogue.strays(self.now_ms(), SWEEP_MOST):
                     await self._delete(bucket, blob, box, shard)
             except Exception as fault:  # one bad row must not end the clean-up for good
-                log(f"clean-up: {type(fault).__name__} {fault}")
+                log("clean-up failed", kind=type(fault).__name__, reason=str(fault))
 
     async def _delete(self, bucket: str, blob: str, box: str, shard: int) -> None:
         if not self.listed(box):
--- /dev/null
+++ b/harriertide/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: its front, its fields, discovery and the other brokers."""
--- a/harriertide/net/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -10,9 +10,9 @@
 import aiohttp
 import orjson
 
-from harriertide import api
 from harriertide.core import events as ev
-from harriertide.log import log
+from harriertide.decide import api
+from harriertide.engine.log import log
 
 CONNECT_S, HEAD_S = 1.0, 6.0
 # Guards against a discovery that vanished without a reset: an empty line is due every 2 s, and a change
@@ -117,7 +117,7 @@
             self.counts["ended"] += 1
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as fault:
             self.counts["broken"] += 1
-            log(f"watch on discovery ended: {type(fault).__name__} {fault}")
+            log("watch on discovery ended", kind=type(fault).__name__, reason=str(fault))
         if asyncio.current_task() is self._task:  # not one on an address that discovery has left
             self._task = None
             self._post(ev.Listed(api.NodeList("failed")))
--- a/harriertide/net/fields.py
+++ b/harriertide/platform/fields.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from math import isfinite
 
-from harriertide import api
-from harriertide.settings import Names
+from harriertide.decide import api
+from harriertide.decide.settings import Names
 
 # The client counts from when it sent; the broker reads a little later. Kept to its end for that.
 SENT_BEFORE_US = 3_000
--- a/harriertide/net/front.py
+++ b/harriertide/platform/front.py
@@ -18,11 +18,11 @@
 from aiohttp.streams import StreamReader
 
 from harriertide.core import events as ev
-from harriertide.net.clients import ClientLine, FrontServer, Room
-from harriertide.net.fields import Fields, MalformedError, read_arrival, read_fields
-from harriertide.net.nodes import NodeClient, Reply
-from harriertide.net.runtime import Attempt, Ending, Runtime
-from harriertide.settings import Names
+from harriertide.decide.settings import Names
+from harriertide.engine.runtime import Attempt, Ending, Runtime
+from harriertide.http.clients import ClientLine, FrontServer, Room
+from harriertide.http.nodes import NodeClient, Reply
+from harriertide.platform.fields import Fields, MalformedError, read_arrival, read_fields
 
 BODY_BYTES = 64 * 1024
 READY, SERVICE = "/health/ready", "/api"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from harriertide import api
-from harriertide.rules import Scheduler
+from harriertide.decide import api
+from harriertide.decide.rules import Scheduler
 
 READ = api.RequestClass(aim_us=300_000, deadline_us=2_000_000, worth=2, late_worth=0.2)
 WRITE = replace(READ, effect="keyed", group="cell", window_us=1_500_000)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -40,14 +40,15 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.head = False  # HEAD was asked for
 
-    async def message(self, answer: bool = False) -> tuple[list[str], Headers, bytes, bool]:
-        """First line, headers, body, and whether the body is as long as it says."""
+    async def message(self, head: bool = False) -> tuple[list[str], Headers, bytes, bool]:
+        """First line, headers, body, and whether the body is as long as it says. head: it has none."""
         first, *rest = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")[:-2]
         headers = dict(row.split(": ", 1) for row in rest)
         if headers.get("Transfer-Encoding") == "chunked":
             return first.split(" ", 2), headers, b"", True
-        size, body = int(headers.get("Content-Length", 0)), b""
+        size, body = 0 if head else int(headers.get("Content-Length", 0)), b""
         while len(body) < size and (chunk := await self.reader.read(size - len(body))):
             body += chunk
         return first.split(" ", 2), headers, body, len(body) == size
@@ -154,6 +155,7 @@
             self.clients[actor].writer.write(self._fields(words[1:], {}))
             return
         method, target, *rest = words
+        self.clients[actor].head = method == "HEAD"
         shard = next((word[1:] for word in rest if word.startswith("@")), None)
         headers: Headers = {"Host": "x"}
         if shard is not None:
@@ -176,7 +178,7 @@
         if words[0] == "100":
             assert (await line.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
             return
-        first, headers, body, whole = await line.message()
+        first, headers, body, whole = await line.message(line.head)
         if words[0] == "short":
             assert not whole, "the answer is whole"
             return
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -7,15 +7,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from harriertide import api
 from harriertide.core import events as ev
 from harriertide.core.reducer import SETTLE_US, Reducer
+from harriertide.decide import api
+from harriertide.engine.clock import Clock
+from harriertide.engine.runtime import Attempt, Ending, Runtime
+from harriertide.http.limits import read_limits
+from harriertide.http.lines import Line
+from harriertide.http.nodes import NodeClient
 from harriertide.lab import second_copy
-from harriertide.net.clock import Clock
-from harriertide.net.limits import read_limits
-from harriertide.net.lines import Line
-from harriertide.net.nodes import NodeClient
-from harriertide.net.runtime import Attempt, Ending, Runtime
 from tests.helpers import SETTINGS
 from tests.scenario import Stand
 from tests.test_reducer import HELD, Scripted
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sqlite3
 from pathlib import Path
 
 from harriertide.objects.catalogue import Catalogue, Part, Piece, Stored
@@ -53,7 +54,7 @@
     tmp_path: Path,
 ) -> None:
     catalogue = Catalogue(str(tmp_path / "c"))
-    catalogue.begin("u", "v", "k", "x/y", 1)
+    catalogue.begin("u", "v", "k", "x/y", {}, 1)
     upload = catalogue.upload("u", "v", "k")
     assert upload is not None and catalogue.upload("u", "v", "other") is None
     digest = "00" * 16
@@ -69,8 +70,23 @@
 def test_uploads_left_open_are_found_by_their_age(tmp_path: Path) -> None:
     catalogue = Catalogue(str(tmp_path / "c"))
     for name, began in (("old", 1), ("young", 100), ("over", 1)):
-        catalogue.begin(name, "v", "k", "x/y", began)
+        catalogue.begin(name, "v", "k", "x/y", {}, began)
     over = catalogue.upload("over", "v", "k")
     assert over is not None
     catalogue.abort(over)
     assert [upload.id for upload in catalogue.left_open(50, 9)] == ["old"]
+
+
+def test_a_file_of_a_version_that_kept_no_headers_is_read_on(tmp_path: Path) -> None:
+    path = str(tmp_path / "c")
+    held = Catalogue(path)
+    held.put("v", "k", Stored("e", "x/y", 1, 1, (), {"Expires": "0"}))
+    held.close()
+    with sqlite3.connect(path) as old:
+        for table in ("objects", "uploads"):
+            old.execute(f"alter table {table} drop column headers")
+    old.close()
+    again = Catalogue(path)
+    found = again.find("v", "k")
+    assert found is not None and found.etag == "e" and found.headers == {}
+    again.close()
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,96 @@
+"""The command line: what a new user meets."""
+
+from __future__ import annotations
+
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from harriertide.cli.main import COMMANDS, main
+
+ROOT = Path(__file__).parent.parent
+
+
+def start(*words: str) -> subprocess.Popen[str]:
+    command = [sys.executable, "-m", "harriertide", *words]
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    pipes = {"stdout": subprocess.PIPE, "stderr": subprocess.PIPE}
+    return subprocess.Popen(command, cwd=ROOT, env=environment, text=True, **pipes)
+
+
+@pytest.mark.parametrize(
+    ("words", "named"),
+    [
+        (["odd"], "odd: no such command"),
+        (["box", "--odd"], "harriertide box: can't use --odd"),
+        (["plan"], "harriertide plan: can't use no arguments"),
+        (["box", "--listen", "10.0.0.1:1"], "--listen"),
+        (["box", "--slots", "0"], "--slots"),
+        (["demo", "--boxes", "none"], "--boxes"),
+        (["serve", "--log", "loud"], "--log"),
+        (["lab", "odd"], "no such experiment"),
+        (["apply", "/nowhere/plan"], "/nowhere/plan"),
+    ],
+)
+def test_what_cannot_be_used_is_one_plain_line_and_2(
+    words: list[str], named: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(words) == 2
+    said = capsys.readouterr()
+    assert named in said.err and said.err.count("\n") == 1 and not said.out
+
+
+def test_help_names_every_command(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--help"]) == 0
+    said = capsys.readouterr().out
+    assert all(f"  {name} " in said for name in COMMANDS)
+
+
+def test_the_demo_prints_calls_that_work_and_ends_on_ctrl_c() -> None:
+    demo = start("demo", "--port", "0", "--boxes", "2")
+    try:
+        assert demo.stdout is not None
+        said = ""
+        while "Ctrl-C" not in said:
+            line = demo.stdout.readline()
+            assert line, demo.communicate(timeout=10)
+            said += line
+        calls = re.findall(r"^  (curl .*)$", said, re.MULTILINE)
+        done = [subprocess.run(["/bin/sh", "-c", call], capture_output=True, text=True) for call in calls]
+        assert [end.stdout for end in done] == ["", "hold the front page", "front"]
+    finally:
+        demo.send_signal(signal.SIGINT)
+        out, err = demo.communicate(timeout=20)
+    assert demo.returncode == 0 and "stopping" in out and "Traceback" not in err
+    assert "event=counters" not in err or "objects.answers_200" in err
+
+
+def test_a_box_turns_away_what_it_has_no_room_for() -> None:
+    box = start("box", "--most-mb", "1")
+    try:
+        assert box.stdout is not None
+        at = box.stdout.readline().partition("box on ")[2].strip()
+
+        def ask(*words: str) -> str:
+            wants = ["curl", "-s", "-o", "/dev/null", "-w", "%{http_code} %header{x-rejected}", *words]
+            return subprocess.run(wants, capture_output=True, text=True, timeout=20).stdout.strip()
+
+        url = f"http://{at}/v/a"
+        assert ask("-X", "PUT", "-d", "hello", url) == "200"
+        assert ask("-X", "PUT", "-d", "x" * 100_000, f"http://{at}/v/b") == "200"
+        assert ask("-H", "Range: bytes=9-", url) == "416"
+        assert ask("-H", "Range: bytes=1-2", url) == "206"
+        assert ask("-H", 'If-Match: "other"', url) == "412"
+        big = str(Path(sys.executable).resolve())
+        if Path(big).stat().st_size > 1 << 20:
+            assert ask("-X", "PUT", "-T", big, f"http://{at}/v/c") == "503 1"
+        assert ask("-X", "DELETE", url) == "204" and ask(url) == "404"
+    finally:
+        box.send_signal(signal.SIGTERM)
+        box.communicate(timeout=10)
+    assert box.returncode == 0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -46,7 +46,7 @@
     try:
         assert daemon.stderr is not None
         serves = [daemon.stderr.readline() for _ in range(2)]  # the front, then the admin address
-        text = text.replace('admin = "127.0.0.1:0"', f'admin = "{serves[1].split()[-1]}"')
+        text = text.replace('admin = "127.0.0.1:0"', f'admin = "{serves[1].strip().partition("on=")[2]}"')
         Path(file).write_text(text)
         assert run("plan", file, "-o", plan).stdout == "no change\n"
         text = text.replace("shard = 0", 'shard = 0\nstate = "draining"').replace("box-2", "box-3")
@@ -126,7 +126,7 @@
     daemon = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
     try:
         assert daemon.stderr is not None
-        assert "serves on" in daemon.stderr.readline()
+        assert "event=serves" in daemon.stderr.readline()
         for text, said in (("{", "stays in force"), (good, "file is in force")):
             file.write_text(text)
             daemon.send_signal(signal.SIGHUP)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from harriertide import api
-from harriertide.notes import ASK, GIFT, decode, encode
-from harriertide.rules import GIFT_US, Scheduler
+from harriertide.decide import api
+from harriertide.decide.notes import ASK, GIFT, decode, encode
+from harriertide.decide.rules import GIFT_US, Scheduler
 from tests.helpers import SETTINGS, START_US, Head, fails, refusals, sends, tells
 
 
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,62 @@
+"""The floors of docs/ARCHITECTURE.md, and what the platform's broker may not load."""
+
+from __future__ import annotations
+
+import ast
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+# An import points to a lower floor, or stays in its room.
+FLOORS = {
+    "decide": 1, "core": 2, "engine": 3, "http": 4, "config": 4, "platform": 5, "objects": 5, "library": 6,
+    "cli": 7, "lab": 8,
+}  # fmt: skip
+HEAVY = ("msgspec", "lmdb", "numpy", "matplotlib", "hdrh", "lark", "rich", "starlette", "uvicorn", "xxhash")
+
+
+def room(module: str) -> str:
+    """The package of a module of this program; "" for the top itself."""
+    parts = module.split(".")
+    return parts[1] if parts[0] == "harriertide" and len(parts) > 1 else ""
+
+
+def test_imports_only_point_down() -> None:
+    wrong = []
+    for path in sorted((ROOT / "harriertide").rglob("*.py")):
+        own = path.relative_to(ROOT / "harriertide").parts[0]
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            if isinstance(node, ast.ImportFrom) and node.module:
+                inner = [f"{node.module}.{alias.name}" for alias in node.names]
+                names = [node.module] if room(node.module) else inner
+            for name in names:
+                there = room(name)
+                if own in FLOORS and there in FLOORS and own != there and FLOORS[there] >= FLOORS[own]:
+                    wrong.append(f"{path.relative_to(ROOT)} imports {name}")
+    assert not wrong, "\n".join(wrong)
+
+
+def test_every_room_has_its_floor() -> None:
+    rooms = {path.parent.name for path in (ROOT / "harriertide").glob("*/__init__.py")}
+    assert rooms == set(FLOORS)
+
+
+def test_the_platforms_broker_loads_neither_the_other_fronts_nor_heavy_libraries() -> None:
+    code = (
+        "import json, sys, resource\n"
+        "from harriertide.cli.main import _start_lean\n"
+        "_start_lean()\n"
+        "import harriertide.cli.serve, harriertide.cli.daemon\n"
+        "private = [row for row in open('/proc/self/smaps_rollup') if row.startswith(('Private_', 'Pss:'))]\n"
+        "print(json.dumps([sorted(sys.modules), private]))\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    loaded, rows = json.loads(done.stdout)
+    own = {room(name) for name in loaded} - {""}
+    assert own == {"decide", "core", "engine", "http", "platform", "cli"}
+    assert not [name for name in loaded if name.split(".")[0] in HEAVY]
+    private_kb = sum(int(row.split()[1]) for row in rows if row.startswith("Private_"))
+    assert private_kb < 32_000, rows
--- a/tests/test_level.py
+++ b/tests/test_level.py
@@ -12,12 +12,12 @@
 
 import pytest
 
-from harriertide import api, rules
+from harriertide.cli.daemon import Daemon
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
-from harriertide.net.clock import until
-from harriertide.net.process import Daemon
-from harriertide.notes import USE, encode
+from harriertide.decide import api, rules
+from harriertide.decide.notes import USE, encode
+from harriertide.engine.clock import until
 from tests.census import census
 from tests.helpers import SETTINGS, START_US
 from tests.test_net import play
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,10 +4,10 @@
 from typing import Any
 from zlib import crc32
 
-from harriertide import api, rules
-from harriertide.notes import BID, DUE, MAGIC, SUM, USE, decode, encode
-from harriertide.rules import BANDS, BID_LIFE_US, CEILING, ROUND_US
-from harriertide.state import Request
+from harriertide.decide import api, rules
+from harriertide.decide.notes import BID, DUE, MAGIC, SUM, USE, decode, encode
+from harriertide.decide.rules import BANDS, BID_LIFE_US, CEILING, ROUND_US
+from harriertide.decide.state import Request
 from tests.helpers import START_US, Head, fails, refusals, sends, tells
 
 KEEPER = crc32(b"0") % 2  # of shard 0, where there are two heads
@@ -322,7 +322,7 @@
     lines = Path(rules.__file__).read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 750  # what the operators run at most
     assert max(map(len, lines)) <= 110
-    assert "harriertide/api.py" in "".join(lines[:3])
+    assert "harriertide/decide/api.py" in "".join(lines[:3])
 
 
 def test_attempts_end_at_the_aim_where_a_head_offers_few_requests() -> None:
--- a/tests/test_middleware.py
+++ b/tests/test_middleware.py
@@ -10,8 +10,9 @@
 import pytest
 from aiohttp import web
 
-from harriertide import api, middleware
-from harriertide.middleware import BOX, Ask, BoxError, BoxFullError, Guard
+from harriertide.decide import api
+from harriertide.library import middleware
+from harriertide.library.middleware import BOX, Ask, BoxError, BoxFullError, Guard
 from tests.helpers import SETTINGS
 
 LONE = replace(SETTINGS, heads=1, may_tell=False)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,13 +12,14 @@
 
 import pytest
 
+from harriertide.cli.daemon import Config, Daemon
 from harriertide.config import model
-from harriertide.net import clients, discovery
-from harriertide.net.lines import Line, Pool
-from harriertide.net.peers import address
-from harriertide.net.process import Config, Daemon
+from harriertide.decide.settings import from_wire, names_from_wire
+from harriertide.http import clients
+from harriertide.http.lines import Line, Pool
 from harriertide.objects.catalogue import Catalogue
-from harriertide.settings import from_wire, names_from_wire
+from harriertide.platform import discovery
+from harriertide.platform.peers import address
 from tests.scenario import Stand, World
 from tests.test_wire import SETTINGS
 
@@ -582,6 +583,60 @@
         o send b1=draining b2=draining
         c send PUT /v/a body=x
         c expect 503 Retry-After=0.* body=*SlowDown*""",
+    "an object of 0 bytes is written and read": """
+        c send PUT /v/empty
+        b1 expect PUT /v/* Content-Length=0
+        b1 send 200 ETag=t1
+        c expect 200 'ETag="d41d8cd98f00b204e9800998ecf8427e"'
+        c send GET /v/empty
+        c expect 200 Content-Length=0 body=
+        c send GET /v/empty Range=bytes=0-
+        c expect 416""",
+    "a write with If-None-Match or If-Match takes the place of what it names only": f"""{PUT}
+        c send PUT /v/a If-None-Match=* body=other
+        c expect 412 body=*PreconditionFailed*
+        c send PUT /v/a 'If-Match="0123"' body=other
+        c expect 412 body=*PreconditionFailed*
+        c send PUT /v/none If-Match=* body=other
+        c expect 404 body=*NoSuchKey*
+        c send PUT /v/a 'If-Match="781e5e245d69b566979b86e28d23f2c7"' body=new
+        b1 expect PUT /v/* body=new
+        b1 send 200
+        c expect 200
+        c send HEAD /v/a
+        c expect 200 Content-Length=3""",
+    "of two writes with If-None-Match that cross one is stored": """
+        c send PUT /v/x If-None-Match=* body=first
+        b1 expect PUT /v/* body=first
+        c2 send PUT /v/x If-None-Match=* body=second
+        b2 expect PUT /v/* body=second
+        b2 send 200
+        c2 expect 200
+        b1 send 200
+        c expect 412 body=*PreconditionFailed*
+        b1 expect DELETE /v/*
+        b1 send 204
+        c send HEAD /v/x
+        c expect 200 Content-Length=6""",
+    "what a client says of its object is given back with it": f"""
+        c send PUT /v/m X-Amz-Meta-Desk=city Cache-Control=max-age=9 Content-Encoding=gzip Expires=0 body=x
+        b1 expect PUT /v/*
+        b1 send 200
+        c expect 200
+        c send HEAD /v/m
+        c expect 200 x-amz-meta-desk=city Cache-Control=max-age=9 Content-Encoding=gzip Expires=0
+        c send PUT /v/m X-Amz-Meta-Long={"x" * 2100} body=x
+        c expect 400 body=*MetadataTooLarge*
+        c send POST /v/up?uploads Content-Disposition=inline X-Amz-Meta-Desk=metro
+        c expect 200 >up=<UploadId>(.*)</UploadId>
+        c send PUT /v/up?partNumber=1&uploadId={{up}} body=x
+        b1 expect PUT /v/* body=x
+        b1 send 200
+        c expect 200
+        c send POST /v/up?uploadId={{up}} {parts((1, "x"))}
+        c expect 200
+        c send HEAD /v/up
+        c expect 200 Content-Disposition=inline x-amz-meta-desk=metro""",
     "what is not part of the interface is said so": """
         c send GET /w/a
         c expect 404 body=*NoSuchBucket*
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections import Counter
 from typing import Any
@@ -11,18 +12,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from harriertide import counts, log
 from harriertide.core import events as ev
 from harriertide.core.reducer import COLD_WRITE_US, Reducer
-from harriertide.net.clock import Clock
-from harriertide.net.discovery import Directory
-from harriertide.net.fields import MalformedError, read_arrival, read_fields
-from harriertide.net.limits import OWN, OWN_MB, Limits, read_limits
-from harriertide.net.lines import Pool
-from harriertide.net.nodes import KEEP_PART, NodeClient
-from harriertide.net.peers import Peers
+from harriertide.decide.settings import from_wire, names_from_wire
+from harriertide.engine import counts, log
+from harriertide.engine.clock import Clock
+from harriertide.http.limits import OWN, OWN_MB, Limits, read_limits
+from harriertide.http.lines import Pool
+from harriertide.http.nodes import KEEP_PART, NodeClient
 from harriertide.objects import s3
-from harriertide.settings import from_wire, names_from_wire
+from harriertide.platform.discovery import Directory
+from harriertide.platform.fields import MalformedError, read_arrival, read_fields
+from harriertide.platform.peers import Peers
 from tests.helpers import SETTINGS
 from tests.test_net import WIRE
 
@@ -196,12 +197,17 @@
         bounded(f"line {number}")
     assert len(capsys.readouterr().err.splitlines()) < 100
     bounded._room = 5.0
-    bounded("later")
-    assert "lines left out" in capsys.readouterr().err
+    bounded("later", what='a "b"')
+    said = capsys.readouterr().err
+    assert "event=later" in said and "left_out=9" in said and r'what="a \"b\""' in said
+    bounded.shape("json")
+    bounded("later", count=1)
+    shown = json.loads(capsys.readouterr().err)
+    assert shown["event"] == "later" and shown["count"] == 1 and shown["at"]
 
 
-def test_counters_are_one_line() -> None:
-    assert counts.line({"a": Counter(x=1, b=2)}) == "counters a.b=2 a.x=1"
+def test_counters_are_the_fields_of_one_event() -> None:
+    assert counts.fields({"a": Counter(x=1, b=2)}) == {"a.b": 2, "a.x": 1}
 
 
 @pytest.mark.parametrize(
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from harriertide import api
-from harriertide.rules import Scheduler
+from harriertide.decide import api
+from harriertide.decide.rules import Scheduler
 from tests.helpers import CLASSES, PLANS, SETTINGS
 
 NEVER = ("full", "connect_failed", "moot")
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -11,9 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from harriertide import api
 from harriertide.core import events as ev
 from harriertide.core.reducer import COLD_WRITE_US, SETTLE_US, Reducer
+from harriertide.decide import api
 from tests.helpers import SETTINGS, START_US
 
 LONE = replace(SETTINGS, heads=1, may_tell=False)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from harriertide import api
+from harriertide.decide import api
 from tests.helpers import READ, SETTINGS
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -65,7 +65,7 @@
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
     env = {**os.environ, "PYTHONHASHSEED": hash_seed}
     return subprocess.run(
-        [sys.executable, "-m", "harriertide.benchlink"],
+        [sys.executable, "-m", "harriertide.cli.benchlink"],
         input=text,
         cwd=ROOT,
         env=env,
