Put the broker inside applications: library, middlewares for aiohttp.web and ASGI, threads

Need: services in Python pay a hop to the daemon before the print deadline. The old middleware ran handlers again on responses that had begun, whose clients never got an end, looked at no drain at the moment of writing, and had no defined body for a further attempt.

Change: harriertide.library. Broker.call runs an application's work once an attempt, on the daemon's own reducer, runtime and client of boxes; the list comes fixed, from an operator's file read again, or from discovery. broker.boxes asks the core right before the first byte leaves; attempt.may_write() gives the same look. An answer that has begun is the client's (AnswerBegan): no attempt follows, and a fault after it ends the connection. A framework's 500 page in front of a box's fault is held, so that the fault can be tried again. Bodies are held within bounds, else there is one attempt. Work that swallows its cancellation does not keep its caller from an answer. stop() refuses, finishes, answers and leaves no task, timer, connection or thread. The runtime can be closed; it starts attempts in their caller's context.

--- /dev/null
+++ b/examples/aiohttp_app.py
@@ -0,0 +1,50 @@
+"""An aiohttp.web service with the broker in its own process.
+
+    python examples/aiohttp_app.py boxes.toml 8080
+
+GET /page/NAME?shard=N reads a blob from the box that the broker chooses.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from aiohttp import web
+
+from harriertide.library import Ask, Broker
+from harriertide.library.web import ATTEMPT, Guard
+
+
+def describe(request: web.Request) -> Ask | None:
+    """What the decisions need to know; None lets a request pass beside the broker."""
+    if not request.path.startswith("/page/"):
+        return None
+    return Ask("photos", shard=int(request.query.get("shard", "-1")), request_class="read")
+
+
+def make(broker: Broker) -> web.Application:
+    """The application."""
+
+    async def page(request: web.Request) -> web.Response:
+        name = request.match_info["name"]
+        if request.method == "PUT":
+            body = await request.read()  # held by the guard: there again for a further attempt
+            reply = await broker.boxes.request(request[ATTEMPT], "PUT", f"/photos/{name}", {}, body)
+        else:
+            reply = await broker.boxes.request(request[ATTEMPT], "GET", f"/photos/{name}")
+        return web.Response(status=reply.status, body=reply.body)
+
+    async def about(request: web.Request) -> web.Response:
+        return web.json_response(broker.counters())
+
+    guard = Guard(broker, describe)
+    app = web.Application(middlewares=[guard.middleware])
+    guard.attach(app)
+    app.router.add_get("/page/{name}", page)
+    app.router.add_put("/page/{name}", page)
+    app.router.add_get("/about", about)
+    return app
+
+
+if __name__ == "__main__":
+    web.run_app(make(Broker.from_file(sys.argv[1])), host="127.0.0.1", port=int(sys.argv[2]))
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -25,6 +25,14 @@
     reply: object = None
 
 
+@dataclass(frozen=True, slots=True)
+class Began:
+    """The answer of an attempt has begun to go to the client: it is the client's, and no attempt follows."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Left:
     """The client is gone; no answer is owed any more."""
@@ -66,7 +74,7 @@
     """The process ends: whatever is open is answered now."""
 
 
-Event: TypeAlias = Arrived | Ended | Left | Listed | Fired | Heard | Resettled | Closing
+Event: TypeAlias = Arrived | Ended | Began | Left | Listed | Fired | Heard | Resettled | Closing
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -127,6 +127,10 @@
             return self._arrive(event.arrival)
         if isinstance(event, ev.Ended):
             return self._end(now_us, event)
+        if isinstance(event, ev.Began):
+            taken = self._taken.get(event.request)
+            at_work = taken is not None and taken.out == event.attempt
+            return [api.AnswerBegan(event.request, event.attempt)] if at_work else []
         if isinstance(event, ev.Left):
             return self._leave(event.request)
         if isinstance(event, ev.Listed):
--- a/harriertide/engine/clock.py
+++ b/harriertide/engine/clock.py
@@ -16,7 +16,11 @@
 
     def now_us(self) -> int:
         """Now, in Unix microseconds as of the start of the process."""
-        return self._unix_us + int((self._loop.time() - self._mono) * 1_000_000)
+        return self.unix_us(self._loop.time())
+
+    def unix_us(self, at: float) -> int:
+        """A moment of the event loop's clock, in Unix microseconds."""
+        return self._unix_us + int((at - self._mono) * 1_000_000)
 
     def loop_time(self, at_us: int) -> float:
         """The same moment on the event loop's clock, for timeout_at and call_at."""
--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -5,6 +5,7 @@
 import asyncio
 import traceback
 from collections.abc import Callable
+from contextvars import Context
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -12,9 +13,11 @@
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
 from harriertide.decide import api
-from harriertide.engine.clock import Clock
+from harriertide.engine.clock import Clock, until
 from harriertide.engine.log import log
 
+CLOSE_STEP_S = 0.005
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -39,6 +42,10 @@
 class Job(Protocol):
     """A taken request, as its front carries it."""
 
+    @property
+    def context(self) -> Context | None:
+        """Of who asked: its attempts run in a copy. None: in the runtime's own."""
+
     async def attempt(self, attempt: Attempt) -> Ending:
         """Perform one attempt; how it ended, and what to pass on."""
 
@@ -56,6 +63,8 @@
         self._loop = asyncio.get_running_loop()
         self._jobs: dict[str, Job] = {}
         self._events: list[ev.Event] = []
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._closed = False
         self._tasks: dict[tuple[str, int], asyncio.Task[Ending]] = {}
 
     def submit(self, arrival: api.Arrival, job: Job) -> bool:
@@ -70,8 +79,32 @@
         """The client of a request is gone."""
         self.post(ev.Left(request))
 
+    def began(self, attempt: Attempt) -> None:
+        """The answer of an attempt is on its way to the client."""
+        self.post(ev.Began(attempt.request, attempt.number))
+
+    def stop(self, request: str) -> None:
+        """Stop what runs for a request whose client is gone; it ends as cancelled."""
+        for key, task in self._tasks.items():
+            if key[0] == request:
+                task.cancel()
+
+    async def close(self, by: float) -> None:
+        """Answer what is open, stop what runs, and wait for its end until this moment of the loop's clock."""
+        self.post(ev.Closing())
+        for task in self._tasks.values():
+            task.cancel()
+        while (self._tasks or self._events) and self._loop.time() < by:
+            await until(min(by, self._loop.time() + CLOSE_STEP_S))
+        self._closed = True
+        for timer in self._timers:
+            timer.cancel()
+        self._timers.clear()
+
     def post(self, event: ev.Event) -> None:
         """Tell the core at the end of this turn of the loop, with all else that happens in it."""
+        if self._closed:
+            return  # what ends later than its runtime changes nothing any more
         if not self._events:
             self._loop.call_soon(self._flush)
         self._events.append(event)
@@ -92,7 +125,9 @@
             attempt = Attempt(
                 self, effect.request, effect.attempt, effect.node, effect.stop_at_us, effect.from_us
             )
-            task = self._loop.create_task(self._run(self._jobs[effect.request], attempt))
+            job = self._jobs[effect.request]
+            context = job.context.copy() if job.context is not None else None
+            task = self._loop.create_task(self._run(job, attempt), context=context)
             self._tasks[effect.request, effect.attempt] = task
             task.add_done_callback(partial(self._ended, attempt))
         elif isinstance(effect, ev.StopAttempt):
@@ -105,7 +140,7 @@
                 del self._jobs[effect.request]
             job.answer(effect)
         elif isinstance(effect, ev.SetTimer):
-            self._loop.call_at(self.clock.loop_time(effect.at_us), self.post, ev.Fired(effect.token))
+            self._set(self.clock.loop_time(effect.at_us), ev.Fired(effect.token))
         elif isinstance(effect, ev.TellPeer):
             self.tell(effect.head, effect.body)
         elif isinstance(effect, ev.OpenWatch):
@@ -113,6 +148,14 @@
         else:
             log("core", text=effect.text)
 
+    def _set(self, at: float, event: ev.Fired) -> None:
+        def fire() -> None:
+            self._timers.discard(timer)
+            self.post(event)
+
+        timer = self._loop.call_at(at, fire)
+        self._timers.add(timer)
+
     async def _run(self, job: Job, attempt: Attempt) -> Ending:
         try:
             return await job.attempt(attempt)
--- a/harriertide/lab/second_copy.py
+++ b/harriertide/lab/second_copy.py
@@ -212,6 +212,8 @@
 class _Job:
     """A request without a client."""
 
+    context = None
+
     def __init__(self, client: NodeClient, request: str, done: asyncio.Semaphore) -> None:
         self._client, self._request, self._done = client, request, done
 
--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -109,6 +109,8 @@
 class ObjectJob:
     """What all of them share: the box protocol's headers and the final answer."""
 
+    context = None
+
     def __init__(self, client: NodeClient, call: str, bucket: str, blob: str) -> None:
         self._client, self._call = client, call
         self._target = f"/{bucket}/{blob}"
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -35,6 +35,7 @@
 class PlatformJob:
     """One request of the platform on its way."""
 
+    context = None
     __slots__ = ("_client", "_line", "_method", "_target", "_headers", "_body")
 
     def __init__(
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -50,6 +50,8 @@
 class Idle:
     """A request whose attempts last until they are stopped."""
 
+    context = None
+
     def __init__(self) -> None:
         self.begun = 0
 
--- /dev/null
+++ b/tests/test_library.py
@@ -0,0 +1,342 @@
+"""The broker inside an application: calls, their ends, and what an application does in the middle of them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import threading
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from harriertide.config.model import OperatorFileError
+from harriertide.decide import api
+from harriertide.engine.clock import until
+from harriertide.library import (
+    Ask,
+    Attempt,
+    Box,
+    BoxError,
+    BoxFullError,
+    Broker,
+    FailedError,
+    Fixed,
+    NotWrittenError,
+    RefusedError,
+    blocking,
+)
+from tests.helpers import SETTINGS
+from tests.scenario import Stand
+from tests.test_config import FILE
+
+LONE = replace(SETTINGS, heads=1, may_tell=False, max_retry_after_us=500_000)
+BOXES = (Box("b1", 0), Box("b2", 1))
+Play = Callable[[Broker, list[str]], Awaitable[None]]
+
+
+def play(work: Play, *boxes: Box, settings: api.Settings = LONE) -> Broker:
+    """Run within a broker; whatever was done, nothing is left of it."""
+    broker = Broker(settings, boxes or BOXES, seed=1)
+
+    async def main() -> None:
+        async with asyncio.timeout(10), broker:
+            await work(broker, [])
+        left = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        assert not left, left
+
+    asyncio.run(main())
+    counts = broker.core.counts
+    assert broker.core.owed() == 0
+    assert counts["taken"] == sum(counts[kind] for kind in ("served", "refused", "failed", "left"))
+    return broker
+
+
+def ask(shard: int = 0, ms: int | None = None) -> Ask:
+    at = None if ms is None else asyncio.get_running_loop().time() + ms / 1000
+    return Ask("v", shard=shard, give_up_at=at)
+
+
+FAULTS: dict[str, tuple[type[Exception], int]] = {
+    "an error is mended by a further attempt": (BoxError, 2),
+    "a refusal too": (BoxFullError, 2),
+    "what is the application's own passes and is not repeated": (KeyError, 1),
+    "also its own time-out": (TimeoutError, 1),
+}
+
+
+@pytest.mark.parametrize(("fault", "runs"), FAULTS.values(), ids=FAULTS.keys())
+def test_what_the_work_raises(fault: type[Exception], runs: int) -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> str:
+            ran.append(attempt.box)
+            if len(ran) == 1:
+                raise fault("once")
+            return "done"
+
+        if runs == 1:
+            with pytest.raises(fault):
+                await broker.call(ask(), perform)
+        else:
+            assert await broker.call(ask(), perform) == "done"
+        assert ran == ["b1"] * runs
+
+    play(work)
+
+
+def test_a_box_that_always_fails_is_tried_as_often_as_allowed_and_then_refused() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> None:
+            ran.append(attempt.box)
+            raise BoxFullError
+
+        with pytest.raises(RefusedError) as refused:
+            await broker.call(ask(), perform)
+        assert refused.value.retry_after_s > 0 and len(ran) == LONE.max_attempts
+
+    play(work)
+
+
+def test_after_the_answer_has_begun_no_attempt_follows() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> None:
+            ran.append(attempt.box)
+            attempt.began()
+            raise BoxError
+
+        with pytest.raises((FailedError, RefusedError)):
+            await broker.call(ask(), perform)
+        assert len(ran) == 1
+
+    play(work)
+
+
+def test_the_work_sees_the_callers_context() -> None:
+    mark = contextvars.ContextVar("mark", default="none")
+
+    async def work(broker: Broker, ran: list[str]) -> None:
+        mark.set("desk 7")
+
+        async def perform(attempt: Attempt) -> str:
+            return mark.get()
+
+        assert await broker.call(ask(), perform) == "desk 7"
+
+    play(work)
+
+
+def test_a_drain_told_between_decision_and_write_stops_the_write() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> None:
+            assert isinstance(broker.source, Fixed)
+            attempt.may_write()
+            broker.source.tell(replace(BOXES[0], state="draining"))
+            await asyncio.sleep(0)  # the turn in which the core hears of it
+            with pytest.raises(NotWrittenError):
+                attempt.may_write()
+            ran.append(attempt.box)
+            attempt.may_write()
+
+        with pytest.raises(RefusedError):
+            await broker.call(ask(), perform)
+        assert ran == ["b1"]
+
+    play(work)
+
+
+def test_the_client_of_boxes_asks_the_core_before_it_writes_and_names_faults() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        box = Stand()
+        port = await box.start()
+        assert isinstance(broker.source, Fixed)
+        here = replace(BOXES[0], address=f"127.0.0.1:{port}")
+        broker.source.tell(here)
+
+        async def perform(attempt: Attempt) -> bytes:
+            return (await broker.boxes.request(attempt, "GET", "/v/x")).body
+
+        async def answers(*lines: bytes) -> None:
+            for line in lines:
+                asked = await box.asked.get()
+                asked[3].writer.write(line)
+
+        full = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+        good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npage"
+        told = asyncio.create_task(answers(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", full, good))
+        assert await broker.call(ask(), perform) == b"page"
+        await told
+        told = asyncio.create_task(answers(b"HTTP/1.1 404 X\r\nContent-Length: 4\r\n\r\nnone"))
+        assert await broker.call(ask(), perform) == b"none"  # an answer, not a fault
+        await told
+        broker.source.tell(replace(here, state="draining"))
+        with pytest.raises(RefusedError):
+            await broker.call(ask(), perform)
+        assert box.asked.empty()
+        await box.close()
+
+    broker = play(work)
+    assert broker.core.counts["outcome_error"] == 1 and broker.core.counts["outcome_full"] == 1
+
+
+def test_work_that_swallows_its_cancellation_does_not_keep_its_caller_from_an_answer() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        let_go = asyncio.Event()
+
+        async def stubborn(attempt: Attempt) -> None:
+            while not let_go.is_set():
+                try:
+                    await let_go.wait()
+                except asyncio.CancelledError:
+                    ran.append("swallowed")
+
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(FailedError):
+            await broker.call(ask(ms=200), stubborn)
+        assert loop.time() - began < 0.8 and ran
+        let_go.set()
+
+    broker = play(work)
+    assert broker.counts["overdue"] == 1
+
+
+def test_a_caller_that_is_cancelled_ends_its_work_and_leaves_nothing() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> None:
+            ran.append("begun")
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ran.append("ended")
+
+        call = asyncio.create_task(broker.call(ask(), perform))
+        while not ran:
+            await asyncio.sleep(0)
+        call.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await call
+        while len(ran) < 2:
+            await asyncio.sleep(0)
+
+    broker = play(work)
+    assert broker.core.counts["left"] == 1 and broker.core.counts["outcome_cancelled"] == 1
+
+
+def test_a_stop_in_the_middle_refuses_new_calls_finishes_some_and_answers_the_rest() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> str:
+            await asyncio.sleep(0.05 if attempt.box == "b1" else 5)
+            return attempt.box
+
+        quick, slow = (asyncio.create_task(broker.call(ask(shard), perform)) for shard in (0, 1))
+        await asyncio.sleep(0.01)
+        loop = asyncio.get_running_loop()
+        stop = asyncio.create_task(broker.stop(loop.time() + 0.3))
+        await asyncio.sleep(0)
+        with pytest.raises(RefusedError) as refused:
+            await broker.call(ask(), perform)
+        assert refused.value.retry_after_s == 0.5
+        assert await quick == "b1"
+        with pytest.raises(RefusedError):
+            await slow
+        await stop
+
+    play(work)
+
+
+def test_an_event_loop_that_was_blocked_answers_all_the_same() -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> str:
+            await asyncio.sleep(0.01)
+            return "done"
+
+        calls = [asyncio.create_task(broker.call(ask(ms=600), perform)) for _ in range(20)]
+        await asyncio.sleep(0)
+        time.sleep(0.7)
+        ends = await asyncio.gather(*calls, return_exceptions=True)
+        assert all(isinstance(end, (str, RefusedError, FailedError)) for end in ends)
+        assert await broker.call(ask(), perform) == "done"
+
+    play(work)
+
+
+ASKS = {
+    "class": (Ask("v", request_class=9), "request_class"),
+    "class by name": (Ask("v", request_class="odd"), "request_class: there is no class odd"),
+    "plan": (Ask("v", plan=9), "plan"),
+    "plan by name": (Ask("v", plan="lead"), "plan: there is no plan lead"),
+    "units": (Ask("v", units=99), "units"),
+}
+
+
+@pytest.mark.parametrize(("wrong", "named"), ASKS.values(), ids=ASKS.keys())
+def test_an_ask_that_cannot_be_used_names_its_field(wrong: Ask, named: str) -> None:
+    async def work(broker: Broker, ran: list[str]) -> None:
+        with pytest.raises(ValueError, match=named):
+            await broker.call(wrong, lambda attempt: asyncio.sleep(0))
+
+    play(work)
+
+
+def test_an_operators_file_is_read_again_and_a_bad_one_keeps_the_old(tmp_path: Path) -> None:
+    file = tmp_path / "o.toml"
+    good = FILE.format(listen=1, admin=2, folder=tmp_path)
+    file.write_text(good)
+
+    async def where(attempt: Attempt) -> str:
+        return f"{attempt.box} {attempt.address}"
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        async with Broker.from_file(str(file), look_s=0.02, seed=1) as broker:
+            assert await broker.call(Ask("v", shard=0), where) == "box-1 127.0.0.1:9201"
+            file.write_text(good.replace("shard = 0", "shard = x"))
+            await until(loop.time() + 0.1)
+            assert await broker.call(Ask("v", shard=0), where) == "box-1 127.0.0.1:9201"
+            file.write_text(good.replace("shard = 0", 'shard = 0\nstate = "draining"'))
+            await until(loop.time() + 0.1)
+            with pytest.raises(RefusedError):
+                await broker.call(Ask("v", shard=0), where)
+            assert (await broker.call(Ask("v", plan="gold", request_class="write"), where))[:5] == "box-2"
+
+    asyncio.run(main())
+
+
+def test_tables_are_checked_as_the_file_is() -> None:
+    boxes: dict[str, Any] = {"b": {"address": "10.0.0.1:1", "shard": 0}}
+    with pytest.raises(OperatorFileError, match="boxes.b.address"):
+        Broker.from_tables(boxes, {"g": {}}, {})
+    Broker.from_tables({"b": {"address": "127.0.0.1:1", "shard": 0}}, {"g": {}}, {"v": {"grade": "g"}})
+
+
+def test_threads_call_and_no_thread_is_left() -> None:
+    before, near = threading.active_count(), Ask("v", shard=0)
+    ran: list[str] = []
+
+    def perform(work: blocking.Work) -> str:
+        ran.append(work.box)
+        work.may_write()
+        if len(ran) == 1:
+            raise BoxError
+        time.sleep(0.01)
+        return threading.current_thread().name
+
+    with blocking.Broker(lambda: Broker(LONE, BOXES, seed=1)) as broker:
+        ends: list[str] = []
+        threads = [
+            threading.Thread(target=lambda: ends.append(broker.call(near, perform)), name=f"t{n}")
+            for n in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert sorted(ends) == ["t0", "t1", "t2", "t3"]
+        with pytest.raises(RefusedError):
+            broker.call(Ask("v", shard=0), lambda work: (_ for _ in ()).throw(BoxFullError()))
+    assert broker.inner.core.owed() == 0 and threading.active_count() == before
+    with pytest.raises(FailedError):
+        broker.call(Ask("v"), perform)
--- /dev/null
+++ b/tests/test_middlewares.py
@@ -0,0 +1,240 @@
+"""The middlewares, in applications on real sockets: aiohttp.web and ASGI under uvicorn."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import pytest
+import uvicorn
+from aiohttp import ClientSession, web
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, StreamingResponse
+from starlette.routing import Route
+from starlette.testclient import TestClient
+
+from harriertide.library import Ask, Attempt, Box, BoxBrokeError, BoxError, BoxFullError, Broker, Fixed, asgi
+from harriertide.library.bodies import Holding
+from harriertide.library.web import ATTEMPT
+from harriertide.library.web import Guard as WebGuard
+from tests.test_library import BOXES, LONE
+
+
+@dataclass
+class Seen:
+    """What an application did."""
+
+    ran: list[str] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+
+
+Fault = Callable[[int], Exception | None]
+
+
+def asked(path: str) -> Ask | None:
+    name, _, shard = path[1:].partition("/")
+    return Ask("v", shard=int(shard or -1)) if name in ("box", "begun") else None
+
+
+@asynccontextmanager
+async def aiohttp_app(broker: Broker, seen: Seen, fault: Fault, hold: Holding) -> AsyncIterator[int]:
+    async def handle(request: web.Request) -> web.StreamResponse:
+        attempt = request.get(ATTEMPT)
+        seen.ran.append(attempt.box if attempt is not None else "-")
+        seen.bodies.append(await request.read())
+        if request.path.startswith("/begun"):
+            response = web.StreamResponse()
+            response.content_length = 100
+            await response.prepare(request)
+            await response.write(b"part")
+        wrong = fault(len(seen.ran))
+        if wrong is not None:
+            raise wrong
+        return web.Response(text="done")
+
+    guard = WebGuard(broker, lambda request: asked(request.path), hold)
+    app = web.Application(middlewares=[guard.middleware])
+    guard.attach(app)
+    app.router.add_route("*", "/{tail:.*}", handle)
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    try:
+        yield int(runner.addresses[0][1])
+    finally:
+        await runner.cleanup()
+
+
+def starlette_app(broker: Broker, seen: Seen, fault: Fault, hold: Holding) -> asgi.Guard:
+    async def handle(request: Request) -> Any:
+        attempt: Attempt | None = getattr(request.state, "attempt", None)
+        seen.ran.append(attempt.box if attempt is not None else "-")
+        seen.bodies.append(await request.body())
+        if request.url.path.startswith("/begun"):
+
+            async def parts() -> AsyncIterator[bytes]:
+                yield b"part"
+                wrong = fault(len(seen.ran))
+                if wrong is not None:
+                    raise wrong
+
+            return StreamingResponse(parts(), headers={"Content-Length": "100"})
+        wrong = fault(len(seen.ran))
+        if wrong is not None:
+            raise wrong
+        return PlainTextResponse("done")
+
+    app = Starlette(routes=[Route("/{tail:path}", handle, methods=["GET", "PUT"])])
+    return asgi.Guard(app, broker, lambda scope: asked(scope["path"]), hold)
+
+
+@asynccontextmanager
+async def uvicorn_app(broker: Broker, seen: Seen, fault: Fault, hold: Holding) -> AsyncIterator[int]:
+    config = uvicorn.Config(
+        starlette_app(broker, seen, fault, hold), port=0, log_level="critical", lifespan="on"
+    )
+    server = uvicorn.Server(config)
+    serving = asyncio.create_task(server._serve())
+    while not server.started:
+        await asyncio.sleep(0.005)
+    try:
+        yield int(server.servers[0].sockets[0].getsockname()[1])
+    finally:
+        server.should_exit = True
+        await serving
+
+
+Client = Callable[[ClientSession, str], Awaitable[None]]
+APPS = {"aiohttp": aiohttp_app, "starlette": uvicorn_app}
+
+
+def play(kind: str, fault: Fault, client: Client, *boxes: Box, hold: Holding | None = None) -> Seen:
+    """One application, one client; nothing is left of either."""
+    seen, broker = Seen(), Broker(LONE, boxes or BOXES, seed=1)
+
+    async def main() -> None:
+        async with asyncio.timeout(10):
+            async with (
+                APPS[kind](broker, seen, fault, hold or Holding()) as port,
+                ClientSession(f"http://127.0.0.1:{port}") as session,
+            ):
+                await client(session, "")
+        assert not broker.running and broker.core.owed() == 0
+        left = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        assert not left, left
+
+    asyncio.run(main())
+    counts = broker.core.counts
+    assert counts["taken"] == sum(counts[kind] for kind in ("served", "refused", "failed", "left"))
+    return seen
+
+
+def gets(path: str, status: int, text: str | None = None, body: bytes | None = None) -> Client:
+    async def client(session: ClientSession, base: str) -> None:
+        async with session.request("PUT" if body else "GET", path, data=body) as response:
+            assert response.status == status
+            said = await response.text()
+            assert text is None or said == text
+            assert status != 503 or float(response.headers["Retry-After"]) > 0
+
+    return client
+
+
+def never(n: int) -> Exception | None:
+    return None
+
+
+both = pytest.mark.parametrize("kind", APPS)
+
+
+@both
+def test_a_request_runs_for_the_box_of_its_shard_and_others_pass_beside(kind: str) -> None:
+    assert play(kind, never, gets("/box/1", 200, "done")).ran == ["b2"]
+    assert play(kind, never, gets("/free", 200, "done")).ran == ["-"]
+
+
+@both
+def test_an_error_of_a_box_is_mended_by_a_further_attempt_which_has_the_body(kind: str) -> None:
+    seen = play(kind, lambda n: BoxError() if n == 1 else None, gets("/box/0", 200, "done", b"x" * 100_000))
+    assert seen.ran == ["b1", "b1"] and seen.bodies == [b"x" * 100_000] * 2
+
+
+@both
+def test_a_body_beyond_what_is_held_passes_once_and_has_one_attempt(kind: str) -> None:
+    """The handler has read it when the box breaks: only the client still has it."""
+    hold = Holding(each=1000, total=2000)
+    seen = play(kind, lambda n: BoxBrokeError(), gets("/box/0", 503, body=b"x" * 100_000), hold=hold)
+    assert seen.ran == ["b1"] and seen.bodies == [b"x" * 100_000] and hold.held == 0
+
+
+@both
+def test_a_box_that_turns_away_is_tried_as_often_as_allowed_and_then_refused_at_once(kind: str) -> None:
+    assert play(kind, lambda n: BoxFullError(), gets("/box/0", 503)).ran == ["b1"] * LONE.max_attempts
+
+
+@both
+def test_a_response_that_has_begun_is_not_run_again_and_its_client_can_tell(kind: str) -> None:
+    """Guards against a handler that runs again on a closed response, whose client waits for good."""
+
+    async def client(session: ClientSession, base: str) -> None:
+        with pytest.raises(Exception, match="(?i)disconnect|payload|not enough|closed|reset"):
+            async with session.get("/begun/0") as response:
+                assert response.status == 200
+                await response.read()
+
+    assert play(kind, lambda n: BoxBrokeError(), client).ran == ["b1"]
+
+
+@both
+def test_an_error_of_the_application_is_its_answer_and_is_not_repeated(kind: str) -> None:
+    assert play(kind, lambda n: KeyError("own"), gets("/box/0", 500)).ran == ["b1"]
+
+
+@both
+def test_with_all_boxes_draining_the_refusal_is_at_once(kind: str) -> None:
+    boxes = [replace(box, state="draining") for box in BOXES]
+    assert play(kind, never, gets("/box/0", 503), *boxes).ran == []
+
+
+def test_an_application_that_stops_answers_what_is_open_and_refuses_what_comes() -> None:
+    broker = Broker(LONE, BOXES, seed=1)
+
+    async def main() -> None:
+        async def handle(request: web.Request) -> web.Response:
+            await asyncio.sleep(0.1)
+            return web.Response(text="done")
+
+        guard = WebGuard(broker, lambda request: Ask("v", shard=0))
+        app = web.Application(middlewares=[guard.middleware])
+        guard.attach(app)
+        app.router.add_get("/", handle)
+        runner = web.AppRunner(app, shutdown_timeout=2)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        port = runner.addresses[0][1]
+        async with ClientSession(f"http://127.0.0.1:{port}") as session, ClientSession() as other:
+            async with other.get(f"http://127.0.0.1:{port}/") as warm:
+                assert warm.status == 200
+            opened = asyncio.create_task(session.get("/"))
+            await asyncio.sleep(0.03)
+            ending = asyncio.create_task(runner.cleanup())
+            response = await opened
+            assert response.status == 200 and await response.text() == "done"
+            response.close()
+            await ending
+        assert not broker.running and broker.core.owed() == 0
+
+    asyncio.run(asyncio.wait_for(main(), 10))
+
+
+def test_under_starlettes_own_test_client() -> None:
+    seen, broker = Seen(), Broker(LONE, BOXES, seed=1)
+    app = starlette_app(broker, seen, lambda n: BoxError() if n == 1 else None, Holding())
+    with TestClient(app) as client:
+        assert client.get("/box/0").text == "done"
+        assert isinstance(broker.source, Fixed)
+    assert seen.ran == ["b1", "b1"] and not broker.running and broker.core.owed() == 0
