Play recorded workloads through daemon and library in virtual time: all decisions match

Need: the library is to decide exactly as the daemon does, and that must be shown, not said.

For it: looks at unread bytes in one place (http/quiet.py), a clock that rounds, the front's Date from that clock.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo probe-second-copy
+.PHONY: build test lint run demo parity probe-second-copy
 
 build: .venv/.dev
 
@@ -23,6 +23,10 @@
 probe-second-copy: build
 	$(PYTHON) -m harriertide.lab.second_copy --attempts 200000
 
+# one workload of each kind through daemon and library in virtual time; prints matched N differed 0
+parity: build
+	$(PYTHON) -m harriertide lab parity
+
 # stand-in boxes, daemon and object front on loopback, until Ctrl-C
 demo: build
 	exec .venv/bin/python -m harriertide demo
--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -128,7 +128,7 @@
             seed, known = time.time_ns(), {"seq": 0, "whole": True, "hosts": []}
         else:
             raise BadConfigError("nothing to serve")
-        self.core = Reducer(settings, seed)
+        self.core, self.seed = Reducer(settings, seed), seed
         self.runtime = Runtime(self.core, Clock(loop))
         self.directory = Directory(names.zones)
         limits = config.limits if config is not None else read_limits({})
@@ -271,12 +271,21 @@
         log.last("counters", **self.counters())
 
 
-def run(environment: Mapping[str, str], objects: str | None = None) -> int:
+def run(environment: Mapping[str, str], objects: str | None = None, record: str | None = None) -> int:
     """Serve as the environment and the operator's file say; 2 with one plain line where it can't be."""
     adopt_libraries()
 
     async def main() -> None:
-        await Daemon(config, operator).serve(environment)
+        daemon = Daemon(config, operator)
+        if record is None:
+            await daemon.serve(environment)
+            return
+        from harriertide.engine.record import Recorder  # its library is loaded only where it is wanted
+
+        with open(record, "wb") as file:
+            clock = daemon.runtime.clock
+            daemon.runtime.record = Recorder(file, daemon.core.settings, daemon.seed, clock.now_us()).take
+            await daemon.serve(environment)
 
     try:
         operator = None
--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -3,6 +3,7 @@
 Usage: harriertide lab EXPERIMENT [ARGUMENT ...]
 
 Experiments:
+  parity       one workload through daemon and library; every decision compared
   second-copy  look for second copies on real sockets; see docs/measurements/second-copy.md
 """
 
@@ -13,7 +14,7 @@
 
 from harriertide.decide.settings import PlainError
 
-EXPERIMENTS = {"second-copy": "second_copy"}
+EXPERIMENTS = {"parity": "parity", "second-copy": "second_copy"}
 
 
 def main(given: dict[str, Any]) -> int:
--- a/harriertide/cli/main.py
+++ b/harriertide/cli/main.py
@@ -51,7 +51,7 @@
     run: Callable[[dict[str, object]], int] = module.main
     page = module.__doc__ or ""
     try:
-        asked = docopt(page, [name, *rest])
+        asked = docopt(page, [name, *rest], options_first=name == "lab")
     except (DocoptExit, DocoptLanguageError):
         usage = page.partition("Usage:")[2].strip().partition("\n")[0]
         what = " ".join(rest) or "no arguments"
--- a/harriertide/cli/serve.py
+++ b/harriertide/cli/serve.py
@@ -1,9 +1,10 @@
 """Serve as LB_CONFIG says, and the object front as FILE says.
 
-Usage: harriertide serve [--objects FILE] [--log FORM]
+Usage: harriertide serve [--objects FILE] [--log FORM] [--record FILE]
 
 Options:
   --objects FILE  the operator's file of the object front
+  --record FILE   write down what the core is told of requests and boxes, to be played again
   --log FORM      text (key=value) or json [default: text]
 """
 
@@ -23,4 +24,4 @@
     from harriertide.engine.log import log
 
     log.shape(given["--log"])
-    return run(os.environ, given["--objects"])
+    return run(os.environ, given["--objects"], given["--record"])
--- a/harriertide/engine/clock.py
+++ b/harriertide/engine/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 
 class Clock:
@@ -12,7 +13,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._mono = loop.time()
-        self._unix_us = time.time_ns() // 1000
+        # a loop on a clock of its own, as in the laboratory, brings the wall's time too
+        wall_us: Callable[[], int] | None = getattr(loop, "wall_us", None)
+        self._unix_us = time.time_ns() // 1000 if wall_us is None else wall_us()
 
     def now_us(self) -> int:
         """Now, in Unix microseconds as of the start of the process."""
@@ -20,7 +23,7 @@
 
     def unix_us(self, at: float) -> int:
         """A moment of the event loop's clock, in Unix microseconds."""
-        return self._unix_us + int((at - self._mono) * 1_000_000)
+        return self._unix_us + round((at - self._mono) * 1_000_000)
 
     def loop_time(self, at_us: int) -> float:
         """The same moment on the event loop's clock, for timeout_at and call_at."""
--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -60,6 +60,7 @@
         self.core, self.clock = core, clock
         self.tell: Callable[[int, bytes], None] = lambda head, body: None
         self.watch: Callable[[], None] = lambda: None
+        self.record: Callable[[int, ev.Event], None] | None = None  # of what the core is told
         self._loop = asyncio.get_running_loop()
         self._jobs: dict[str, Job] = {}
         self._events: list[ev.Event] = []
@@ -111,7 +112,11 @@
 
     def _flush(self) -> None:
         events, self._events = self._events, []
-        for effect in self.core.step(self.clock.now_us(), events):
+        now_us = self.clock.now_us()
+        if self.record is not None:
+            for event in events:
+                self.record(now_us, event)
+        for effect in self.core.step(now_us, events):
             try:
                 self._perform(effect)
             except Exception:  # guards against one broken effect taking the answers of others with it
--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -17,6 +16,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from harriertide.http.limits import Limits
+from harriertide.http.quiet import unread
 
 # A request must have come whole this long after its connection was accepted, later ones after their first
 # byte: guards against connections that say nothing, and heads and bodies that never end.
@@ -80,7 +80,6 @@
         self._lines: dict[State, dict[ClientLine, None]] = {
             "silent": {}, "reading": {}, "busy": {}, "idle": {}, "parting": {},
         }  # fmt: skip
-        self._poll = select.poll()
         self._timer: asyncio.TimerHandle | None = None
 
     def limit(self, limits: Limits) -> None:
@@ -117,20 +116,6 @@
 
     # --- closing -------------------------------------------------------------------------------
 
-    def _quiet(self, line: ClientLine) -> bool:
-        """Whether all that has come was read.
-
-        Guards against closing on a request that lies in the socket, which its client would count as lost.
-        """
-        if line.transport is None or line.transport.is_closing():
-            return False
-        number = line.transport.get_extra_info("socket").fileno()
-        self._poll.register(number, select.POLLIN)
-        try:
-            return not self._poll.poll(0)
-        finally:
-            self._poll.unregister(number)
-
     def _make_room(self) -> bool:
         """Close the connection that is missed least."""
         ways: tuple[tuple[State, float], ...] = (
@@ -145,7 +130,8 @@
         for line in list(self._lines[state]) if self._lines[state] else ():
             if shed >= most:
                 break
-            if line.since > due or (state in ("silent", "idle") and not self._quiet(line)):
+            # a close on a request that lies there unread would be a lost one to its client
+            if line.since > due or (state in ("silent", "idle") and unread(line.transport)):
                 continue
             if line.unsent() and self._loop.time() < line.since + STUCK_S:
                 continue
--- a/harriertide/http/lines.py
+++ b/harriertide/http/lines.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from contextlib import suppress
 from enum import Enum
@@ -21,6 +20,7 @@
 from aiohttp.streams import StreamReader
 
 from harriertide.http.limits import Limits
+from harriertide.http.quiet import unread
 
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
@@ -248,7 +248,6 @@
         self._by_address: dict[str, list[Line]] = {}
         self._at_work: dict[str, Line] = {}  # by request
         self._sweeper: asyncio.TimerHandle | None = None
-        self._poll = select.poll()
 
     def limit(self, limits: Limits) -> None:
         """Go by these bounds from now on."""
@@ -270,30 +269,18 @@
         line.held = 0
 
     def take(self, address: str) -> Line | None:
-        """An idle connection that is fit for a request: the one used last, so that spare ones run out."""
+        """An idle connection that is fit for a request: the one used last, so that spare ones run out.
+
+        Guards against a request on one whose close, or whose stray bytes, lie there unread.
+        """
         while lines := self._by_address.get(address):
             line = lines[-1]
             self._forget(line)
-            if self._quiet(line) and self._loop.time() < line.idle_since + self.keep_s:
+            if not unread(line.transport, ends=True) and self._loop.time() < line.idle_since + self.keep_s:
                 return line
             line.abort()
         return None
 
-    def _quiet(self, line: Line) -> bool:
-        """Whether nothing has come that was not read yet.
-
-        Guards against a request on a connection whose close, or whose stray bytes, lie in the socket: the
-        loop looks there only in its next turn.
-        """
-        if line.transport is None or line.transport.is_closing():
-            return False
-        number = line.transport.get_extra_info("socket").fileno()
-        self._poll.register(number, select.POLLIN | select.POLLRDHUP)
-        try:
-            return not self._poll.poll(0)
-        finally:
-            self._poll.unregister(number)
-
     async def open(self, address: str) -> Line | None:
         """A new connection; None where the bound has no room for it."""
         if len(self) >= self.most:
--- /dev/null
+++ b/harriertide/lab/parity.py
@@ -0,0 +1,226 @@
+"""Play one workload through the daemon and through the library, in virtual time, and compare every decision.
+
+Usage: parity [--seconds S] [--seed N] [--kind KIND] [FILE]
+
+FILE is a recorded workload (harriertide serve --record); without one, a workload of each kind is drawn.
+Prints `matched N differed 0`, or the first decisions that differ, and then exits with 1.
+
+Options:
+  --seconds S  length of a drawn workload [default: 8]
+  --seed N     of what is drawn [default: 1]
+  --kind KIND  calm, surge, failing, drains or cold; else all of them
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from itertools import zip_longest
+from typing import Any
+
+from docopt import docopt
+
+from harriertide.cli.daemon import Config, Daemon
+from harriertide.core import events as ev
+from harriertide.core.reducer import Reducer
+from harriertide.decide import api
+from harriertide.decide.settings import Names, PlainError
+from harriertide.engine.clock import until
+from harriertide.engine.record import Workload, load, moved
+from harriertide.engine.runtime import Runtime
+from harriertide.lab import plant, virtual
+from harriertide.library import Ask, Attempt, Box, Broker, FailedError, Fixed, RefusedError
+from harriertide.platform.fields import SENT_BEFORE_US
+
+LEAD_S, AFTER_S = 0.5, 4.0  # before the first row, and after the last one
+CONNECT_US, IDLE_US = 250_000, 15_000_000
+Decision = tuple[Any, ...]
+
+
+@dataclass
+class Played:
+    """What came of a workload: each decision with its time, and each request's end."""
+
+    decisions: list[Decision] = field(default_factory=list)
+    ends: dict[str, str] = field(default_factory=dict)
+    worth: float = 0.0
+
+
+def _watch(core: Reducer, start_us: int, played: Played) -> None:
+    """Write down what the reducer asks for."""
+    step = core.step
+
+    def watched(now_us: int, happened: list[ev.Event]) -> list[ev.Effect]:
+        effects = step(now_us, happened)
+        for effect in effects:
+            at = now_us - start_us
+            if isinstance(effect, ev.StartAttempt):
+                stop = effect.stop_at_us - start_us
+                played.decisions.append((at, "attempt", effect.request, effect.attempt, effect.node, stop))
+            elif isinstance(effect, ev.StopAttempt):
+                played.decisions.append((at, "stop", effect.request, effect.attempt))
+            elif isinstance(effect, ev.Answer):
+                played.decisions.append((at, effect.kind, effect.request, effect.retry_after_us))
+                played.ends[effect.request] = effect.kind
+        return effects
+
+    core.step = watched  # type: ignore[method-assign]
+
+
+Submit = Callable[[api.Arrival], Awaitable[None]]
+
+
+async def _play(workload: Workload, runtime: Runtime, start_us: int, submit: Submit) -> None:
+    """Each row in its time."""
+    clock, tasks = runtime.clock, []
+    for row in workload.rows:
+        at_us, event = moved(row, start_us)
+        if at_us > clock.now_us():
+            await until(clock.loop_time(at_us))
+        if isinstance(event, ev.Arrived):
+            tasks.append(asyncio.ensure_future(submit(event.arrival)))
+        else:
+            runtime.post(event)
+    await asyncio.gather(*tasks)
+
+
+def _budget_ms(arrival: api.Arrival, now_us: int) -> int:
+    return max(1, -(-(arrival.give_up_us - now_us + SENT_BEFORE_US) // 1000))
+
+
+async def _boxes(boxes: list[plant.Box], begin: float) -> dict[str, str]:
+    """Bring them up; where each listens."""
+    found = {}
+    for box in boxes:
+        box.begin = begin
+        server = await asyncio.start_server(box.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        found[box.name] = f"{host}:{port}"
+    return found
+
+
+async def through_daemon(workload: Workload, boxes: list[plant.Box]) -> Played:
+    """The platform's front, over HTTP, as a client of the platform sees it."""
+    played, loop = Played(), asyncio.get_running_loop()
+    settings = workload.head.settings
+    places = await _boxes(boxes, loop.time() + LEAD_S)
+    names = Names(
+        {f"c{n}": n for n in range(len(settings.classes))}, {f"p{n}": n for n in range(len(settings.plans))},
+        {}, CONNECT_US, IDLE_US,
+    )  # fmt: skip
+    config = Config(
+        "parity", ("127.0.0.1", 0), "127.0.0.1:1", workload.head.seed, settings, names, None, [],
+        {"seq": 0, "whole": True, "hosts": []},
+    )  # fmt: skip
+    daemon = Daemon(config, None)
+    daemon.directory.find = places.get  # type: ignore[assignment]
+    await daemon.start()
+    clock = daemon.runtime.clock
+    start_us = clock.unix_us(loop.time() + LEAD_S)
+    _watch(daemon.core, start_us, played)
+    port = daemon.port(0)
+
+    async def submit(arrival: api.Arrival) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        method, body = ("PUT", b"x" * 16) if arrival.request_class else ("GET", b"")
+        extent = f"volume={arrival.volume},units={arrival.units:g},shard={arrival.shard}"
+        writer.write(
+            f"{method} /api?key={arrival.key} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {arrival.request}\r\n"
+            f"X-Call-Class: c{arrival.request_class}\r\nX-Storage-Class: p{arrival.plan}\r\n"
+            f"X-Budget-Ms: {_budget_ms(arrival, clock.now_us())}\r\n"
+            f"X-Extent: {extent},hosts={arrival.hosts}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    await _play(workload, daemon.runtime, start_us, submit)
+    await daemon.stop()
+    return played
+
+
+async def through_library(workload: Workload, boxes: list[plant.Box]) -> Played:
+    """The library's call, with its own client of boxes."""
+    played, loop = Played(), asyncio.get_running_loop()
+    places = await _boxes(boxes, loop.time() + LEAD_S)
+    source = Fixed([Box("none", 0, state="gone")])
+    source.find = places.get  # type: ignore[assignment]
+    broker = Broker(workload.head.settings, source, seed=workload.head.seed)
+    await broker.start()
+    runtime = broker._runtime
+    assert runtime is not None
+    clock = runtime.clock
+    start_us = clock.unix_us(loop.time() + LEAD_S)
+    _watch(broker.core, start_us, played)
+
+    async def submit(arrival: api.Arrival) -> None:
+        method, body = ("PUT", b"x" * 16) if arrival.request_class else ("GET", b"")
+        now_us = clock.now_us()
+        last_us = now_us + 1000 * _budget_ms(arrival, now_us) - SENT_BEFORE_US
+        kind = broker.core.settings.classes[arrival.request_class]
+        last_us = min(last_us, now_us + kind.deadline_us - SENT_BEFORE_US)
+
+        async def perform(attempt: Attempt) -> bytes:
+            headers = {"X-Call-Id": arrival.request}
+            target = f"/api?key={arrival.key}"
+            return (await broker.boxes.request(attempt, method, target, headers, body)).body
+
+        ask = Ask(
+            arrival.volume, arrival.shard, arrival.units, arrival.request_class, arrival.plan, arrival.key,
+            clock.loop_time(last_us), arrival.hosts, arrival.request,
+        )  # fmt: skip
+        with suppress(RefusedError, FailedError):
+            await broker.call(ask, perform)
+
+    await _play(workload, runtime, start_us, submit)
+    await broker.stop()
+    return played
+
+
+def compare(one: Played, other: Played) -> tuple[int, list[str]]:
+    """How many decisions match, and those that differ, as text."""
+    pairs = zip_longest(one.decisions, other.decisions)
+    differ = [f"daemon {a}, library {b}" for a, b in pairs if a != b]
+    return max(len(one.decisions), len(other.decisions)) - len(differ), differ
+
+
+def play(workload: Workload, make: Callable[[], list[plant.Box]]) -> tuple[Played, Played]:
+    """Through both, each with boxes of its own."""
+    return (
+        virtual.run(through_daemon(workload, make())),
+        virtual.run(through_library(workload, make())),
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Print what matched."""
+    given = docopt(__doc__ or "", arguments)
+    kinds = [given["--kind"]] if given["--kind"] else list(plant.KINDS)
+    if not set(kinds) <= set(plant.KINDS):
+        raise PlainError(f"--kind: {given['--kind']} is none of {', '.join(plant.KINDS)}")
+    seed, seconds = int(given["--seed"]), float(given["--seconds"])
+    matched, differed = 0, 0
+    for kind in [given["FILE"]] if given["FILE"] else kinds:
+        if given["FILE"]:
+            workload = load(kind)
+            names = {e.node: e.shard for row in workload.rows if row.news for e in row.news.nodes}
+
+            def make(names: dict[str, int] = names) -> list[plant.Box]:
+                return [plant.Box(name, shard, seed) for name, shard in sorted(names.items())]
+        else:
+            workload, _ = plant.draw(kind, seed, seconds)
+
+            def make(kind: str = kind) -> list[plant.Box]:  # type: ignore[misc]
+                return plant.draw(kind, seed, seconds)[1]
+
+        daemon, library = play(workload, make)
+        same, differ = compare(daemon, library)
+        matched, differed = matched + same, differed + len(differ)
+        served = sum(end == "served" for end in daemon.ends.values())
+        print(f"{kind}: {len(daemon.ends)} requests, {served} served; matched {same} differed {len(differ)}")
+        print("".join(f"  {line}\n" for line in differ[:3]), end="")
+    print(f"matched {matched} differed {differed}")
+    return 1 if differed else 0
--- /dev/null
+++ b/harriertide/lab/plant.py
@@ -0,0 +1,126 @@
+"""Stand-in storage boxes on a virtual network, and workloads drawn for them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from heapq import heappop, heappush
+
+import numpy as np
+from xxhash import xxh3_64_intdigest
+
+from harriertide.decide import api
+from harriertide.engine.record import VERSION, Head, Row, Workload
+
+SECOND = 1_000_000
+READ = api.RequestClass(aim_us=300_000, deadline_us=2_000_000, worth=3.0, late_worth=0.3)
+WRITE = replace(READ, aim_us=500_000, effect="keyed", group="all", window_us=2_000_000)
+PLANS = (api.Plan(reserve=8.0, weight=4.0, price=1.8), api.Plan(reserve=2.0, price=0.8))
+SETTINGS = api.Settings(
+    head=0, heads=1, classes=(READ, WRITE), plans=PLANS, shards=6, mean_units=2.0, most_units=8.0,
+    share_worth=0.35, spare_worth=0.08, cold_units=12.0, cold_from=0.3, cold_us=4 * SECOND,
+    fall_us=1 * SECOND, may_say_when=True, may_cancel=True, max_retry_after_us=500_000, max_attempts=4,
+    tick_us=1_000,
+)  # fmt: skip
+CORES, UNIT_S, QUEUE = 2, 0.012, 24  # of a box: at once, seconds a unit, waiting
+KINDS = ("calm", "surge", "failing", "drains", "cold")
+
+
+@dataclass(slots=True)
+class Box:
+    """One box: requests in turn of arrival on its cores. faults: from, until (s of the play), status."""
+
+    name: str
+    shard: int
+    seed: int
+    speed: float = 1.0
+    faults: list[tuple[float, float, int]] = field(default_factory=list)
+    begin: float = 0.0
+    seen: dict[str, int] = field(default_factory=dict)
+    _free: list[float] = field(default_factory=lambda: [0.0] * CORES)
+    _waiting: int = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection."""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                fields = dict(row.lower().split(": ", 1) for row in head.split("\r\n")[1:-2])
+                await reader.readexactly(int(fields.get("content-length", "0")))
+                writer.write(await self._answer(fields["x-call-id"]))
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, request: str) -> bytes:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        number = self.seen[request] = self.seen.get(request, 0) + 1
+        for first, last, status in self.faults:
+            if first <= now - self.begin < last:
+                if status == 0:  # silent
+                    await asyncio.sleep(60)
+                return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+        if self._waiting >= QUEUE:
+            return b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+        # what a request costs depends on nothing but itself, so that two plays of one workload are alike
+        part = xxh3_64_intdigest(f"{self.seed} {self.name} {request} {number}".encode()) / 2**64
+        start = max(now, heappop(self._free))
+        end = start + (0.4 + 1.2 * part) * 2 * UNIT_S / self.speed
+        heappush(self._free, end)
+        self._waiting += 1
+        try:
+            await asyncio.sleep(end - now)
+        finally:
+            self._waiting -= 1
+        body = f"{self.name} {request}".encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def capacity(boxes: int) -> float:
+    """Units a second that so many boxes can do."""
+    return boxes * CORES / UNIT_S
+
+
+def draw(kind: str, seed: int, seconds: float = 8.0) -> tuple[Workload, list[Box]]:
+    """A workload of one kind, and the boxes that it is for."""
+    random = np.random.default_rng([seed, KINDS.index(kind)])
+    boxes = [Box(f"box-{n}", n, seed, float(random.uniform(0.8, 1.2))) for n in range(SETTINGS.shards)]
+    entries = [api.NodeEntry(box.name, box.shard) for box in boxes]
+    rows = [Row(0, news=api.NodeList("held", tuple(entries)))]
+    if kind == "failing":
+        boxes[1].faults.append((2.0, 4.0, 500))
+        boxes[2].faults.append((3.0, 6.0, 0))
+    elif kind == "drains":
+        moves = ((2.0, 0, "draining"), (3.5, 1, "draining"), (4.5, 0, "live"), (6.0, 2, "gone"))
+        for at, place, state in moves:
+            changed = replace(entries[place], state=state)  # type: ignore[arg-type]
+            rows.append(Row(int(at * SECOND) + place, news=api.NodeList("changes", (changed,))))
+    elif kind == "cold":
+        for at, place in ((2.0, 3), (2.5, 4)):
+            start_us = int(at * SECOND)
+            for state in ("gone", "live"):
+                changed = replace(entries[place], state=state, started_us=start_us)  # type: ignore[arg-type]
+                late = 0 if state == "gone" else 400_000
+                rows.append(Row(start_us + late + place, news=api.NodeList("changes", (changed,))))
+    at, number = 0.05, 0
+    rate = 0.5 * capacity(len(boxes)) / SETTINGS.mean_units
+    while at < seconds:
+        part = 4.0 if kind == "surge" and 2.0 <= at < 5.0 else 1.0
+        at += float(random.exponential(1 / (rate * part)))
+        number += 1
+        write = bool(random.random() < 0.3)
+        row = api.Arrival(
+            request=f"{seed:04x}{number:012x}",
+            request_class=int(write),
+            plan=int(random.random() < 0.4),
+            volume=f"{int(random.integers(12)):016x}",
+            shard=-1 if write and random.random() < 0.3 else int(random.integers(len(boxes))),
+            give_up_us=int(at * SECOND) + 1000 * int(random.integers(600, 1900)) - 3_000,
+            units=float(random.integers(1, 5)),
+            key=f"{int(random.integers(1 << 40)):016x}",
+        )
+        rows.append(Row(int(at * SECOND), row))
+    rows.sort(key=lambda each: each.at)
+    return Workload(Head(VERSION, SETTINGS, seed), rows, False), boxes
--- a/harriertide/library/broker.py
+++ b/harriertide/library/broker.py
@@ -7,6 +7,8 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
+from contextlib import ExitStack
+from pathlib import Path
 from secrets import token_hex
 from types import TracebackType
 from typing import Any, Generic, TypeVar, cast
@@ -108,7 +110,8 @@
         async with Broker.from_file("boxes.toml") as broker:
             page = await broker.call(Ask("photos", shard=3), perform)
 
-    settings, source: see from_file and from_tables for what needs neither.
+    settings, source: see from_file and from_tables for what needs neither. record: a file to which what the
+    core is told is written, to be played again (harriertide lab parity).
     """
 
     def __init__(
@@ -120,11 +123,14 @@
         seed: int | None = None,
         sockets: int = SOCKETS,
         memory_mb: int = MEMORY_MB,
+        record: str | None = None,
     ) -> None:
-        self.core = Reducer(settings, time.time_ns() if seed is None else seed)
         self.source: Source = Fixed(source) if isinstance(source, Iterable) else source
         self.names = names
         self.counts: Counter[str] = Counter()
+        self._seed = time.time_ns() if seed is None else seed
+        self.core = Reducer(settings, self._seed)
+        self._record, self._file = record, ExitStack()
         self._limits = Limits.share(sockets, memory_mb)
         self._runtime: Runtime | None = None
         self._client: NodeClient | None = None
@@ -194,8 +200,18 @@
         self._runtime = Runtime(self.core, Clock(asyncio.get_running_loop()))
         self._runtime.watch = self.source.subscribe
         self._client = NodeClient(self.source.find, CONNECT_US, IDLE_US, self._limits)
+        if self._record is not None:
+            self._write_down(self._record)
         self.source.start(self._runtime.post)
 
+    def _write_down(self, path: str) -> None:
+        from harriertide.engine.record import Recorder  # its library is loaded only where it is wanted
+
+        runtime = self._runtime
+        assert runtime is not None
+        file = self._file.enter_context(Path(path).open("wb"))  # noqa: SIM115 - closed by stop
+        runtime.record = Recorder(file, self.core.settings, self._seed, runtime.clock.now_us()).take
+
     def refuse(self) -> None:
         """Refuse new calls from now on; stop() is to follow."""
         self._refusing = True
@@ -217,6 +233,7 @@
         await self._runtime.close(max(end, loop.time()) + LAST_S)
         if self._client is not None:
             await self._client.close()
+        self._file.close()
 
     async def __aenter__(self) -> Broker:
         await self.start()
@@ -250,9 +267,10 @@
             raise RefusedError(self.core.settings.max_retry_after_us / 1e6)
         clock = runtime.clock
         give_up_us = None if ask.give_up_at is None else clock.unix_us(ask.give_up_at)
-        asked = arrival(ask, token_hex(8), self.names, self.core, clock.now_us(), give_up_us)
+        asked = arrival(ask, ask.request or token_hex(8), self.names, self.core, clock.now_us(), give_up_us)
         call = _Call(perform, self.source.find)
-        runtime.submit(asked, call)
+        if not runtime.submit(asked, call):
+            raise ValueError(f"request: {asked.request} is open already")
         self._open.add(call.final)
         try:
             # work that swallows its cancellation must not keep its caller from an answer
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import Counter
 from email.utils import formatdate
 from typing import Any
@@ -215,7 +214,7 @@
 
     def date(self) -> str:
         """Now, as HTTP writes it."""
-        second = int(time.time())
+        second = self._runtime.clock.now_us() // 1_000_000
         if second != self._second:
             self._second, self._date = second, formatdate(second, usegmt=True)
         return self._date
--- /dev/null
+++ b/tests/test_parity.py
@@ -0,0 +1,198 @@
+"""Daemon and library decide alike: recorded workloads, the virtual network, and the comparison itself."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from harriertide.engine import record
+from harriertide.engine.clock import until
+from harriertide.lab import parity, plant, virtual
+from harriertide.library import Ask, Box, Broker
+
+
+def both(kind: str, seed: int, seconds: float) -> tuple[parity.Played, parity.Played]:
+    workload, _ = plant.draw(kind, seed, seconds)
+    return parity.play(workload, lambda: plant.draw(kind, seed, seconds)[1])
+
+
+@pytest.mark.parametrize("kind", plant.KINDS)
+def test_every_decision_is_the_same(kind: str) -> None:
+    daemon, library = both(kind, 7, 5.5)
+    matched, differ = parity.compare(daemon, library)
+    assert not differ, differ[:3]
+    ends = list(daemon.ends.values())
+    assert matched > 2000 and ends.count("served") > 500
+    assert kind in ("calm", "cold", "drains") or ends.count("refused") > 50
+
+
+def test_a_difference_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The comparison must be able to fail: a library that keeps 1 ms less of the client's time."""
+    monkeypatch.setattr(parity, "SENT_BEFORE_US", parity.SENT_BEFORE_US + 1_000)
+    workload, _ = plant.draw("calm", 7, 1.0)
+    daemon, library = parity.play(workload, lambda: plant.draw("calm", 7, 1.0)[1])
+    matched, differ = parity.compare(daemon, library)
+    assert differ and matched < len(daemon.decisions)
+
+
+def test_one_seed_gives_one_run_and_another_another() -> None:
+    workload, _ = plant.draw("surge", 3, 3.0)
+
+    def run(seed: int) -> list[parity.Decision]:
+        boxes = plant.draw("surge", 3, 3.0)[1]
+        own = replace_seed(workload, seed)
+        return virtual.run(parity.through_library(own, boxes)).decisions
+
+    assert run(1) == run(1) != run(2)
+
+
+def replace_seed(workload: record.Workload, seed: int) -> record.Workload:
+    head = record.Head(workload.head.v, workload.head.settings, seed)
+    return record.Workload(head, workload.rows, workload.cut)
+
+
+def test_minutes_of_virtual_time_pass_at_once_and_a_stand_still_is_an_error() -> None:
+    async def main() -> float:
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        await until(begin + 3_600)
+        return loop.time() - begin
+
+    assert virtual.run(main()) == pytest.approx(3_600)
+
+    async def never() -> None:
+        await asyncio.Event().wait()
+
+    with pytest.raises(virtual.NothingLeftError):
+        virtual.run(never())
+
+
+def test_bytes_arrive_in_order_after_the_networks_delay_and_ends_are_heard() -> None:
+    heard: list[tuple[float, bytes]] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        while data := await reader.read(100):
+            heard.append((round(loop.time() - begin, 6), data))
+        writer.close()
+
+    begin = 0.0
+
+    async def main() -> None:
+        nonlocal begin
+        loop = asyncio.get_running_loop()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        begin = loop.time()
+        for word in (b"a", b"b"):
+            writer.write(word)
+            await until(loop.time() + 0.1)
+        writer.write_eof()
+        assert await reader.read() == b""
+        server.close()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", port)
+
+    virtual.run(main(), virtual.Network(lambda here, there: 0.25))
+    assert heard == [(0.25, b"a"), (0.35, b"b")]
+
+
+def test_datagrams_arrive_or_are_lost() -> None:
+    got: list[tuple[bytes, object]] = []
+
+    class Ear(asyncio.DatagramProtocol):
+        def datagram_received(self, data: bytes, addr: object) -> None:
+            got.append((data, addr))
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        for port in (1, 2):
+            transport, _ = await loop.create_datagram_endpoint(Ear, ("127.0.0.1", port))
+        transport.sendto(b"x", ("127.0.0.1", 1))
+        transport.sendto(b"y", ("127.0.0.1", 9))
+        await until(loop.time() + 1)
+
+    virtual.run(main())
+    assert got == [(b"x", ("127.0.0.1", 2))]
+
+
+SETTINGS = replace(plant.SETTINGS, shards=2)
+
+
+def recorded(folder: Path) -> Path:
+    """What a library's broker wrote down of some calls."""
+    path = folder / "workload"
+
+    async def main() -> None:
+        boxes = [Box("b0", 0), Box("b1", 1, started_us=virtual.WALL_US - 60_000_000)]
+        async with Broker(SETTINGS, boxes, seed=5, record=str(path)) as broker:
+            for shard in (0, 1, 0):
+                await broker.call(Ask("v", shard=shard, units=2.0), lambda attempt: asyncio.sleep(0.01))
+
+    virtual.run(main())
+    return path
+
+
+def test_a_recording_is_read_as_it_was_written(tmp_path: Path) -> None:
+    path = recorded(tmp_path)
+    workload = record.load(str(path))
+    assert not workload.cut and workload.head.settings == SETTINGS and workload.head.seed == 5
+    news, *asks = workload.rows
+    assert news.news is not None and [entry.node for entry in news.news.nodes] == ["b0", "b1"]
+    assert [row.arrival.shard for row in asks if row.arrival] == [0, 1, 0]
+    assert [row.at for row in asks] == sorted(row.at for row in asks)
+    # on the clock of another play the times are the same distances
+    at_us, event = record.moved(asks[0], 10**15)
+    assert at_us - 10**15 == asks[0].at
+    again = tmp_path / "again"
+    record.save(str(again), workload)
+    assert again.read_bytes() == path.read_bytes()
+
+
+def test_a_recording_that_a_crash_cut_off_is_good_up_to_there(tmp_path: Path) -> None:
+    path = recorded(tmp_path)
+    whole = path.read_bytes()
+    lines = whole.count(b"\n")
+    for size in range(whole.index(b"\n") + 1, len(whole)):
+        path.write_bytes(whole[:size])
+        workload = record.load(str(path))
+        assert workload.cut == (whole[size - 1 : size] != b"\n")
+        assert len(workload.rows) == whole[:size].count(b"\n") - 1 < lines
+
+
+BROKEN = {
+    "another version": (0, b'"v":1', b'"v":2', "line 1: v: version 2"),
+    "an unknown key": (1, b'"at"', b'"odd"', "line 2"),
+    "a wrong type": (2, b'"at":', b'"at":"x","y":', "line 3"),
+    "neither": (2, b'"arrival"', b'"novelty"', "line 3"),
+    "noise amid the file": (2, b"{", b"\xff", "line 3"),
+    "settings that can't be": (0, b'"heads":1', b'"heads":0', "line 1"),
+}
+
+
+@pytest.mark.parametrize(("line", "old", "new", "named"), BROKEN.values(), ids=BROKEN.keys())
+def test_a_recording_that_cannot_be_used_names_its_line(
+    line: int, old: bytes, new: bytes, named: str, tmp_path: Path
+) -> None:
+    path = recorded(tmp_path)
+    lines = path.read_bytes().split(b"\n")
+    assert old in lines[line]
+    lines[line] = lines[line].replace(old, new, 1)
+    path.write_bytes(b"\n".join(lines))
+    with pytest.raises(record.RecordError, match=named):
+        record.load(str(path))
+
+
+def test_a_recorded_workload_plays_alike_through_both(tmp_path: Path) -> None:
+    workload, boxes = plant.draw("failing", 2, 4.5)
+    path = tmp_path / "workload"
+    record.save(str(path), workload)
+    loaded = record.load(str(path))
+    assert loaded.rows == workload.rows
+    daemon, library = parity.play(loaded, lambda: plant.draw("failing", 2, 4.5)[1])
+    assert not parity.compare(daemon, library)[1]
+
