Let brokers of one service share, in one process or over loopback, as they come and go

Need: two workers of one service each spent the whole of every share, as no instance knew of another.

Change: library/places.py, the hand-over rule, pure: each instance beats, judges by itself who is there, and takes its position among them as its place; messages count between equal views only; one that was held up itself takes nobody for dead. library/exchange.py: Hub for brokers in one process, in any of its loops and threads; Loopback for worker processes, 16 ports in a row, junk without effect. The broker's head and heads follow; the module tells its sums anew then, and counts cold nodes' budgets as spent. lab bench-library measures what a request costs direct, through the library and through the daemon.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo parity probe-second-copy
+.PHONY: build test lint run demo parity bench-library probe-second-copy
 
 build: .venv/.dev
 
@@ -27,6 +27,10 @@
 parity: build
 	$(PYTHON) -m harriertide lab parity
 
+# CPU and latency of a request direct, through the library and through the daemon: docs/measurements/library.md
+bench-library: build
+	$(PYTHON) -m harriertide lab bench-library
+
 # stand-in boxes, daemon and object front on loopback, until Ctrl-C
 demo: build
 	exec .venv/bin/python -m harriertide demo
--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -3,8 +3,9 @@
 Usage: harriertide lab EXPERIMENT [ARGUMENT ...]
 
 Experiments:
-  parity       one workload through daemon and library; every decision compared
-  second-copy  look for second copies on real sockets; see docs/measurements/second-copy.md
+  bench-library  what a request costs direct, through the library and through the daemon
+  parity         one workload through daemon and library; every decision compared
+  second-copy    look for second copies on real sockets; see docs/measurements/second-copy.md
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 from harriertide.decide.settings import PlainError
 
-EXPERIMENTS = {"parity": "parity", "second-copy": "second_copy"}
+EXPERIMENTS = {"bench-library": "bench_library", "parity": "parity", "second-copy": "second_copy"}
 
 
 def main(given: dict[str, Any]) -> int:
--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -94,6 +94,15 @@
 
     def _settle(self, settings: api.Settings) -> None:
         """Take new figures; classes and plans keep their places, new ones come after them."""
+        if (settings.head, settings.heads) != (self._s.head, self._s.heads):
+            # Numbers of heads mean others now: their bids are told anew, to other keepers. What others have
+            # spent and given at cold nodes is not known: counted as all of it.
+            self._tallies.clear()
+            self._uses.clear()
+            for node in self._nodes.values():
+                for parts in (node.spent, node.given):
+                    parts.append((self._now, self._s.cold_units / self._s.cold_from))
+                node.gift, node.asked_us = 0.0, 0
         self._s = settings
         self._alone = settings.heads == 1 or not settings.may_tell
         self._usual += [0.0] * (len(settings.classes) - len(self._usual))
--- a/harriertide/lab/parity.py
+++ b/harriertide/lab/parity.py
@@ -17,7 +17,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from itertools import zip_longest
+from itertools import count, zip_longest
 from typing import Any
 
 from docopt import docopt
@@ -32,6 +32,7 @@
 from harriertide.engine.runtime import Runtime
 from harriertide.lab import plant, virtual
 from harriertide.library import Ask, Attempt, Box, Broker, FailedError, Fixed, RefusedError
+from harriertide.library.exchange import Exchange
 from harriertide.platform.fields import SENT_BEFORE_US
 
 LEAD_S, AFTER_S = 0.5, 4.0  # before the first row, and after the last one
@@ -44,8 +45,7 @@
     """What came of a workload: each decision with its time, and each request's end."""
 
     decisions: list[Decision] = field(default_factory=list)
-    ends: dict[str, str] = field(default_factory=dict)
-    worth: float = 0.0
+    ends: dict[str, tuple[int, str]] = field(default_factory=dict)  # when, and how
 
 
 def _watch(core: Reducer, start_us: int, played: Played) -> None:
@@ -63,7 +63,7 @@
                 played.decisions.append((at, "stop", effect.request, effect.attempt))
             elif isinstance(effect, ev.Answer):
                 played.decisions.append((at, effect.kind, effect.request, effect.retry_after_us))
-                played.ends[effect.request] = effect.kind
+                played.ends[effect.request] = (at, effect.kind)
         return effects
 
     core.step = watched  # type: ignore[method-assign]
@@ -72,9 +72,9 @@
 Submit = Callable[[api.Arrival], Awaitable[None]]
 
 
-async def _play(workload: Workload, runtime: Runtime, start_us: int, submit: Submit) -> None:
+async def _play(workload: Workload, runtimes: list[Runtime], start_us: int, submit: Submit) -> None:
     """Each row in its time."""
-    clock, tasks = runtime.clock, []
+    clock, tasks = runtimes[0].clock, []
     for row in workload.rows:
         at_us, event = moved(row, start_us)
         if at_us > clock.now_us():
@@ -82,7 +82,8 @@
         if isinstance(event, ev.Arrived):
             tasks.append(asyncio.ensure_future(submit(event.arrival)))
         else:
-            runtime.post(event)
+            for runtime in runtimes:
+                runtime.post(event)
     await asyncio.gather(*tasks)
 
 
@@ -137,26 +138,48 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.close()
 
-    await _play(workload, daemon.runtime, start_us, submit)
+    await _play(workload, [daemon.runtime], start_us, submit)
     await daemon.stop()
     return played
 
 
-async def through_library(workload: Workload, boxes: list[plant.Box]) -> Played:
-    """The library's call, with its own client of boxes."""
+Seats = Callable[[int], Exchange | None]
+Kill = Callable[[list[Broker]], Awaitable[None]]
+
+
+async def through_library(
+    workload: Workload,
+    boxes: list[plant.Box],
+    brokers: int = 1,
+    seat: Seats = lambda place: None,
+    beside: Kill | None = None,
+) -> Played:
+    """The library's call, with its own client of boxes.
+
+    brokers: so many take the requests in turn, each in its seat; the decisions are those of all. beside: run
+    with them from the first row on; a broker that is taken out of the list gets no more requests.
+    """
     played, loop = Played(), asyncio.get_running_loop()
     places = await _boxes(boxes, loop.time() + LEAD_S)
-    source = Fixed([Box("none", 0, state="gone")])
-    source.find = places.get  # type: ignore[assignment]
-    broker = Broker(workload.head.settings, source, seed=workload.head.seed)
-    await broker.start()
-    runtime = broker._runtime
-    assert runtime is not None
-    clock = runtime.clock
-    start_us = clock.unix_us(loop.time() + LEAD_S)
-    _watch(broker.core, start_us, played)
+    all_brokers: list[Broker] = []
+    runtimes: list[Runtime] = []
+    start_us = 0
+    for place in range(brokers):
+        source = Fixed([Box("none", 0, state="gone")])
+        source.find = places.get  # type: ignore[assignment]
+        settings, seed = workload.head.settings, workload.head.seed + place
+        broker = Broker(settings, source, seed=seed, exchange=seat(place))
+        await broker.start()
+        all_brokers.append(broker)
+        assert broker._runtime is not None
+        runtimes.append(broker._runtime)
+        start_us = start_us or runtimes[0].clock.unix_us(loop.time() + LEAD_S)
+        _watch(broker.core, start_us, played)
+    clock, taking = runtimes[0].clock, list(all_brokers)
+    turn = count()
 
     async def submit(arrival: api.Arrival) -> None:
+        broker = taking[next(turn) % len(taking)]
         method, body = ("PUT", b"x" * 16) if arrival.request_class else ("GET", b"")
         now_us = clock.now_us()
         last_us = now_us + 1000 * _budget_ms(arrival, now_us) - SENT_BEFORE_US
@@ -175,11 +198,29 @@
         with suppress(RefusedError, FailedError):
             await broker.call(ask, perform)
 
-    await _play(workload, runtime, start_us, submit)
-    await broker.stop()
+    other = asyncio.ensure_future(beside(taking)) if beside is not None else None
+    await _play(workload, runtimes, start_us, submit)
+    if other is not None:
+        await other
+    for broker in all_brokers:
+        await broker.stop()
     return played
 
 
+def worth(workload: Workload, played: Played, from_us: int = 0, until_us: int = 1 << 62) -> float:
+    """Of what arrived in a span and was served within its aim: class and plan, by units."""
+    settings, total = workload.head.settings, 0.0
+    for row in workload.rows:
+        asked = row.arrival
+        if asked is None or not from_us <= row.at < until_us:
+            continue
+        at, end = played.ends.get(asked.request, (0, "none"))
+        kind = settings.classes[asked.request_class]
+        if end == "served" and at - row.at <= kind.aim_us:
+            total += kind.worth * settings.plans[asked.plan].price * asked.units
+    return total
+
+
 def compare(one: Played, other: Played) -> tuple[int, list[str]]:
     """How many decisions match, and those that differ, as text."""
     pairs = zip_longest(one.decisions, other.decisions)
@@ -219,7 +260,7 @@
         daemon, library = play(workload, make)
         same, differ = compare(daemon, library)
         matched, differed = matched + same, differed + len(differ)
-        served = sum(end == "served" for end in daemon.ends.values())
+        served = sum(kind == "served" for _, kind in daemon.ends.values())
         print(f"{kind}: {len(daemon.ends)} requests, {served} served; matched {same} differed {len(differ)}")
         print("".join(f"  {line}\n" for line in differ[:3]), end="")
     print(f"matched {matched} differed {differed}")
--- a/harriertide/lab/virtual.py
+++ b/harriertide/lab/virtual.py
@@ -174,7 +174,7 @@
 
     def __init__(self, loop: Loop, here: Address, protocol: Any) -> None:
         super().__init__()
-        self._loop, self.here, self._protocol = loop, here, protocol
+        self._loop, self.here, self._protocol, self._closing = loop, here, protocol, False
 
     def sendto(self, data: Any, addr: Any = None) -> None:
         there = self._loop.network.datagrams.get(addr)
@@ -182,7 +182,11 @@
             at = self._loop.time() + self._loop.network.delay(self.here, addr)
             self._loop.call_at(at, there._protocol.datagram_received, bytes(data), self.here)
 
+    def is_closing(self) -> bool:
+        return self._closing
+
     def close(self) -> None:
+        self._closing = True
         if self._loop.network.datagrams.pop(self.here, None) is not None:
             self._loop.call_soon(self._protocol.connection_lost, None)
 
@@ -304,6 +308,8 @@
         self, protocol_factory: Any, local_addr: Any = None, **named: Any
     ) -> Any:
         at = self.network.address(*local_addr)
+        if at in self.network.datagrams:
+            raise OSError(98, "address in use")
         protocol = protocol_factory()
         transport = self.network.datagrams[at] = Datagrams(self, at, protocol)
         protocol.connection_made(transport)
--- a/harriertide/library/__init__.py
+++ b/harriertide/library/__init__.py
@@ -2,6 +2,7 @@
 programs on threads."""
 
 from harriertide.library.broker import Boxes, Broker
+from harriertide.library.exchange import Hub, Loopback
 from harriertide.library.sources import Box, Discovery, Fixed, OperatorFile
 from harriertide.library.types import (
     Ask,
@@ -18,6 +19,6 @@
 
 __all__ = [
     "Ask", "Attempt", "Box", "BoxBrokeError", "BoxError", "BoxFullError", "BoxSlowError",
-    "BoxUnreachableError", "Boxes", "Broker", "Discovery", "FailedError", "Fixed", "NotWrittenError",
-    "OperatorFile", "RefusedError",
+    "BoxUnreachableError", "Boxes", "Broker", "Discovery", "FailedError", "Fixed", "Hub", "Loopback",
+    "NotWrittenError", "OperatorFile", "RefusedError",
 ]  # fmt: skip
--- a/harriertide/library/broker.py
+++ b/harriertide/library/broker.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import ExitStack
+from dataclasses import replace
 from pathlib import Path
 from secrets import token_hex
 from types import TracebackType
@@ -23,6 +24,8 @@
 from harriertide.engine.runtime import Ending, Runtime
 from harriertide.http.limits import Limits
 from harriertide.http.nodes import NodeClient, Reply
+from harriertide.library.exchange import Exchange
+from harriertide.library.places import View
 from harriertide.library.sources import Box, Fixed, OperatorFile, Source
 from harriertide.library.types import (
     BOX_FAULTS,
@@ -40,6 +43,7 @@
 Perform = Callable[[Attempt], Awaitable[T]]
 CONNECT_US, IDLE_US = 250_000, 15_000_000
 SOCKETS, MEMORY_MB = 256, 64  # of which the client of boxes takes its part
+_OVERDUE = ev.Answer("", "failed")
 LAST_S = 0.25  # after the end of its time a call whose work goes on all the same is answered
 STOP_S = 5.0  # a stop without a moment of its own waits so long for open calls
 
@@ -111,7 +115,8 @@
             page = await broker.call(Ask("photos", shard=3), perform)
 
     settings, source: see from_file and from_tables for what needs neither. record: a file to which what the
-    core is told is written, to be played again (harriertide lab parity).
+    core is told is written, to be played again (harriertide lab parity). exchange: a seat among other brokers
+    on the same boxes, so that they share what one alone would take.
     """
 
     def __init__(
@@ -124,12 +129,14 @@
         sockets: int = SOCKETS,
         memory_mb: int = MEMORY_MB,
         record: str | None = None,
+        exchange: Exchange | None = None,
     ) -> None:
         self.source: Source = Fixed(source) if isinstance(source, Iterable) else source
         self.names = names
         self.counts: Counter[str] = Counter()
         self._seed = time.time_ns() if seed is None else seed
         self.core = Reducer(settings, self._seed)
+        self.exchange, self._settings, self._view = exchange, settings, View((0,), 0)
         self._record, self._file = record, ExitStack()
         self._limits = Limits.share(sockets, memory_mb)
         self._runtime: Runtime | None = None
@@ -179,7 +186,7 @@
         self._grades += [name for name in state["grades"] if name not in self._grades]
         self.names = _names(state, self._grades)
         if self._runtime is not None:
-            self._runtime.post(ev.Resettled(model.settings(state, self._grades)))
+            self._resettle(model.settings(state, self._grades))
 
     # --- life ----------------------------------------------------------------------------------
 
@@ -203,6 +210,23 @@
         if self._record is not None:
             self._write_down(self._record)
         self.source.start(self._runtime.post)
+        if self.exchange is not None:
+            self._runtime.tell = self.exchange.tell
+            await self.exchange.join(self._runtime.post, self._take_view)
+
+    def _take_view(self, view: View) -> None:
+        """Other brokers have come or gone: this one's number and theirs."""
+        self._view = view
+        self._resettle(self._settings)
+
+    def _resettle(self, settings: api.Settings) -> None:
+        """Go by these settings, in the place that this broker has among others."""
+        self._settings = settings
+        heads = len(self._view.members)
+        if self.exchange is not None:
+            settings = replace(settings, head=self._view.place, heads=heads, may_tell=heads > 1)
+        if self._runtime is not None:
+            self._runtime.post(ev.Resettled(settings))
 
     def _write_down(self, path: str) -> None:
         from harriertide.engine.record import Recorder  # its library is loaded only where it is wanted
@@ -229,6 +253,8 @@
         end = loop.time() + STOP_S if by is None else by
         while self._open and loop.time() < end:
             await until(min(end, loop.time() + 0.005))
+        if self.exchange is not None:
+            await self.exchange.leave()
         await self.source.close()
         await self._runtime.close(max(end, loop.time()) + LAST_S)
         if self._client is not None:
@@ -267,27 +293,29 @@
             raise RefusedError(self.core.settings.max_retry_after_us / 1e6)
         clock = runtime.clock
         give_up_us = None if ask.give_up_at is None else clock.unix_us(ask.give_up_at)
-        asked = arrival(ask, ask.request or token_hex(8), self.names, self.core, clock.now_us(), give_up_us)
+        hosts = ask.hosts or len(self._view.members)
+        request = ask.request or token_hex(8)
+        asked = arrival(ask, request, hosts, self.names, self.core, clock.now_us(), give_up_us)
         call = _Call(perform, self.source.find)
         if not runtime.submit(asked, call):
             raise ValueError(f"request: {asked.request} is open already")
         self._open.add(call.final)
+        # work that swallows its cancellation must not keep its caller from an answer
+        last = clock.loop_time(asked.give_up_us) + LAST_S
+        timer = asyncio.get_running_loop().call_at(last, call.answer, _OVERDUE)
         try:
-            # work that swallows its cancellation must not keep its caller from an answer
-            async with asyncio.timeout_at(clock.loop_time(asked.give_up_us) + LAST_S) as limit:
-                answer = await call.final
-        except TimeoutError:
-            if not limit.expired():
-                raise
-            self.counts["overdue"] += 1
-            runtime.left(asked.request)
-            raise FailedError("its work did not end within its time") from None
+            answer = await call.final
         except asyncio.CancelledError:
             runtime.left(asked.request)
             runtime.stop(asked.request)
             raise
         finally:
+            timer.cancel()
             self._open.discard(call.final)
+        if answer is _OVERDUE:
+            self.counts["overdue"] += 1
+            runtime.left(asked.request)
+            raise FailedError("its work did not end within its time")
         if answer.kind == "served":
             assert isinstance(answer.reply, tuple)
             value, fault = answer.reply
@@ -301,6 +329,8 @@
     def counters(self) -> dict[str, int]:
         """All counts, by part and name."""
         parts = {"core": self.core.counts, "library": self.counts}
+        if self.exchange is not None:
+            parts["exchange"] = self.exchange.counts
         if self._client is not None:
             parts["boxes"] = self._client.counts
         return counts.fields(parts)
--- a/harriertide/library/types.py
+++ b/harriertide/library/types.py
@@ -16,8 +16,8 @@
     volume: whose share it takes; shard: which box's shard holds the data, -1 for a new object; units: its
     size; request_class, plan: by number, or by name where the broker knows names, None for the volume's own
     plan; give_up_at: the moment of the loop's clock until which the caller waits, None for the class's
-    deadline from now; hosts: through how many brokers the volume's requests come; request: its id, drawn
-    where none is given; one that is open already is a ValueError.
+    deadline from now; hosts: through how many brokers the volume's requests come, 0 for all that share;
+    request: its id, drawn where none is given; one that is open already is a ValueError.
     """
 
     volume: str
@@ -27,7 +27,7 @@
     plan: int | str | None = None
     key: str = ""
     give_up_at: float | None = None
-    hosts: int = 1
+    hosts: int = 0
     request: str = ""
 
 
@@ -131,7 +131,7 @@
 
 
 def arrival(
-    ask: Ask, request: str, names: Names, core: Reducer, now_us: int, give_up_us: int | None
+    ask: Ask, request: str, hosts: int, names: Names, core: Reducer, now_us: int, give_up_us: int | None
 ) -> api.Arrival:
     """An ask as the core takes it. ValueError names what it can't use."""
     kind, plan = ask.request_class, ask.plan
@@ -162,5 +162,5 @@
         give_up_us=last_us if give_up_us is None else min(last_us, give_up_us),
         units=ask.units,
         key=ask.key,
-        hosts=ask.hosts,
+        hosts=hosts,
     )
--- a/tests/test_parity.py
+++ b/tests/test_parity.py
@@ -24,7 +24,7 @@
     daemon, library = both(kind, 7, 5.5)
     matched, differ = parity.compare(daemon, library)
     assert not differ, differ[:3]
-    ends = list(daemon.ends.values())
+    ends = [kind for _, kind in daemon.ends.values()]
     assert matched > 2000 and ends.count("served") > 500
     assert kind in ("calm", "cold", "drains") or ends.count("refused") > 50
 
--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,237 @@
+"""Brokers that share: places, exchanges, and what several of them do with one plant's shares."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from harriertide.engine.clock import until
+from harriertide.lab import parity, plant, virtual
+from harriertide.library import Ask, Box, Broker, Hub, Loopback, blocking
+from harriertide.library.exchange import Exchange
+from harriertide.library.places import BEAT_US, SILENT_US, Places, View
+
+ROOT = Path(__file__).parent.parent
+FIRST = 29_100
+SECOND = 1_000_000
+
+
+def beats(places: Places, members: dict[int, int], from_us: int, until_us: int) -> list[View]:
+    """Looks and beats in step; the views that came of it."""
+    seen = []
+    for now in range(from_us, until_us, BEAT_US):
+        for member, mark in members.items():
+            places.heard(member, mark, now)
+        view = places.look(now)
+        seen += [view] if view else []
+    return seen
+
+
+def test_members_take_places_by_their_numbers_and_move_up_when_one_falls_silent() -> None:
+    places = Places(5, 0)
+    (view,) = beats(places, {7: 0, 3: 0}, BEAT_US, SECOND)
+    assert view.members == (3, 5, 7) and view.place == 1
+    (after,) = beats(places, {7: 0}, SECOND, 2 * SECOND)
+    assert after.members == (5, 7) and after.place == 0
+    back = beats(places, {7: 0, 3: 0}, 2 * SECOND, 3 * SECOND)
+    assert [view.members for view in back] == [(3, 5, 7)]
+    places.left(7)
+    last = places.look(3 * SECOND)
+    assert last is not None and last.members == (3, 5)
+
+
+def test_a_silent_member_is_gone_within_its_time_and_not_before() -> None:
+    places = Places(1, 0)
+    beats(places, {2: 0}, BEAT_US, SECOND + 1)
+    heard = places._heard[2]
+    gone = next(now for now in range(heard, heard + SECOND, BEAT_US) if places.look(now))
+    assert SILENT_US < gone - heard <= SILENT_US + BEAT_US
+
+
+def test_a_member_that_was_held_up_itself_takes_nobody_for_dead() -> None:
+    places = Places(1, 0)
+    beats(places, {2: 0}, BEAT_US, SECOND)
+    assert places.look(SECOND + 700_000) is None and places.view.members == (1, 2)
+    assert beats(places, {}, SECOND + 760_000, 2 * SECOND)  # but then it is
+
+
+def test_messages_count_between_equal_views_only() -> None:
+    places = Places(1, 0)
+    beats(places, {2: 0, 3: 0}, BEAT_US, SECOND)
+    assert places.place_of(2) is None
+    places.heard(2, places.view.mark, SECOND)
+    assert places.place_of(2) == 1 and places.place_of(3) is None and places.place_of(9) is None
+
+
+# --- several brokers on one plant -------------------------------------------------------------
+
+
+def share(
+    kind: str,
+    brokers: int,
+    seat: parity.Seats,
+    beside: Callable[[list[Broker]], Awaitable[None]] | None = None,
+) -> parity.Played:
+    workload, boxes = plant.draw(kind, 5, 8.0)
+    return virtual.run(parity.through_library(workload, boxes, brokers, seat, beside))
+
+
+def loopback(place: int) -> Exchange:
+    return Loopback(FIRST, 8)
+
+
+def test_two_instances_in_one_process_get_together_what_one_gets() -> None:
+    workload, _ = plant.draw("surge", 5, 8.0)
+    one = parity.worth(workload, share("surge", 1, lambda place: None))
+    seats = Hub()
+    two = parity.worth(workload, share("surge", 2, lambda place: seats.seat()))
+    four = parity.worth(workload, share("surge", 4, loopback))
+    assert 0.95 * one <= two <= 1.05 * one, (one, two)
+    assert 0.95 * one <= four <= 1.05 * one, (one, four)
+
+
+def test_a_dead_instances_part_is_in_use_by_the_others_soon() -> None:
+    """One of three dies without a word amid the surge; its requests go to the others from then on."""
+    workload, _ = plant.draw("surge", 5, 8.0)
+    seen: list[tuple[float, int]] = []
+
+    async def kill(taking: list[Broker]) -> None:
+        loop = asyncio.get_running_loop()
+        await until(loop.time() + parity.LEAD_S + 3.0)
+        dead = taking.pop()
+        exchange = dead.exchange
+        assert isinstance(exchange, Loopback) and exchange._timer and exchange._transport
+        exchange._timer.cancel()
+        exchange._transport.close()
+        died = loop.time()
+        for _ in range(40):
+            await until(loop.time() + 0.02)
+            seen.append((loop.time() - died, len(taking[0]._view.members)))
+
+    whole = share("surge", 3, loopback)
+    killed = share("surge", 3, loopback, kill)
+    assert seen[0][1] == 3
+    assert next(after for after, members in seen if members == 2) <= 0.32
+    # from two rounds after its death on they do as well as three did
+    span = (3_600_000, 5_000_000)
+    assert parity.worth(workload, killed, *span) >= 0.9 * parity.worth(workload, whole, *span)
+
+
+def test_a_box_that_starts_cold_beside_four_instances_gets_no_more_than_from_one() -> None:
+    workload, _ = plant.draw("cold", 5, 8.0)
+    units = {row.arrival.request: row.arrival.units for row in workload.rows if row.arrival}
+    limit = plant.SETTINGS.cold_units / plant.SETTINGS.cold_from  # what it can do warm, in the window
+    for brokers, seat in ((1, lambda place: None), (4, loopback)):
+        played = share("cold", brokers, seat)
+        begin = 2_000_000  # box-3 starts
+        sent = [(d[0], units[d[2]]) for d in played.decisions if d[1] == "attempt" and d[4] == "box-3"]
+        window = [n for at, n in sent if begin <= at < begin + plant.SETTINGS.fall_us]
+        assert sum(window) <= limit, (brokers, sum(window))
+
+
+def test_junk_on_the_port_has_no_effect() -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        boxes = [Box("b0", 0)]
+        first, second = (Broker(plant.SETTINGS, boxes, seed=n, exchange=Loopback(FIRST, 8)) for n in (1, 2))
+        async with first, second:
+            stranger, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, ("127.0.0.1", 40_000))
+            for number in range(5_000):
+                noise = os.urandom(14)
+                body = (b"hbt1\x01" + noise[:4], b"hbt1", b"FT\x02" + noise, b"x" * 300)[number % 4]
+                stranger.sendto(body, ("127.0.0.1", FIRST))
+            await until(loop.time() + 1.0)
+            assert first._view.members == second._view.members == (FIRST, FIRST + 1)
+            assert await first.call(Ask("v", shard=0), lambda attempt: asyncio.sleep(0, "done")) == "done"
+        assert isinstance(first.exchange, Loopback) and first.exchange.counts["junk"] == 5_000
+
+    virtual.run(main())
+
+
+def test_instances_on_threads_of_one_process_see_each_other_come_and_go() -> None:
+    seats = Hub()
+
+    def make() -> blocking.Broker:
+        return blocking.Broker(lambda: Broker(plant.SETTINGS, [Box("b0", 0)], exchange=seats.seat()))
+
+    def sees(broker: blocking.Broker, count: int) -> None:
+        end = time.monotonic() + 3
+        while len(broker.inner._view.members) != count:
+            assert time.monotonic() < end
+            time.sleep(0.005)
+
+    with make() as first:
+        sees(first, 1)
+        with make() as second:
+            sees(first, 2)
+            sees(second, 2)
+            assert second.call(Ask("v", shard=0), lambda work: work.box) == "b0"
+        sees(first, 1)
+    assert threading.active_count() < 20
+
+
+WORKER = """
+import asyncio, json, sys, time
+from harriertide.lab import plant
+from harriertide.library import Ask, Box, Broker, Loopback
+
+async def main():
+    broker = Broker(plant.SETTINGS, [Box("b0", 0)], exchange=Loopback(int(sys.argv[1]), 8))
+    async with broker:
+        seen = None
+        while True:
+            await broker.call(Ask("v", shard=0), lambda attempt: asyncio.sleep(0.001))
+            if broker._view.members != seen:
+                seen = broker._view.members
+                print(json.dumps([time.time(), list(seen)]), flush=True)
+
+asyncio.run(main())
+"""
+
+
+def test_of_three_worker_processes_one_is_killed_and_its_place_is_taken_again() -> None:
+    port = 29_200 + os.getpid() % 200 * 8  # workers of other test runs have others
+    command = [sys.executable, "-c", WORKER, str(port)]
+
+    def start() -> subprocess.Popen[str]:
+        return subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+
+    def sees(worker: subprocess.Popen[str], count: int) -> float:
+        assert worker.stdout is not None
+        while line := worker.stdout.readline():
+            at, members = json.loads(line)
+            if len(members) == count:
+                return float(at)
+        raise AssertionError("the worker has ended")
+
+    workers = [start() for _ in range(3)]
+    try:
+        for worker in workers:
+            sees(worker, 3)
+        workers[1].send_signal(signal.SIGKILL)
+        killed = time.time()
+        for worker in (workers[0], workers[2]):
+            assert sees(worker, 2) - killed < 2.0  # 0.3 s where there is a processor for it
+        workers.append(start())
+        for worker in (workers[0], workers[2], workers[3]):
+            sees(worker, 3)
+    finally:
+        for worker in workers:
+            worker.kill()
+            worker.communicate()
+
+
+@pytest.mark.parametrize("host", ["10.0.0.1", "0.0.0.0"])
+def test_an_exchange_is_on_loopback_only(host: str) -> None:
+    with pytest.raises(Exception, match="no loopback address"):
+        Loopback(1, host=host)
