End the work done for a client that has gone, under ASGI too

Need: servers don't cancel an ASGI application whose client has gone; they say so to who asks. So its attempt went on, held its part of the box's room, and the core never heard.

Change: where a request's body is held, the guard asks beside the call; gone before the answer has begun, the call is cancelled and the core told. Under aiohttp handler_cancellation does the same.

Measured: a test for both frameworks: the work ends, left is 1, nothing is owed.

--- a/harriertide/library/asgi.py
+++ b/harriertide/library/asgi.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
@@ -50,6 +51,11 @@
                 self.whole = b"".join(parts)
                 return
 
+    async def gone(self) -> None:
+        """Until the client has gone, once its body is held."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
     def once(self) -> Receive:
         """As one attempt reads it."""
         given = False
@@ -163,12 +169,24 @@
                 raise
             await answer.go_on()
 
+        call = asyncio.ensure_future(self.broker.call(ask, perform))
+        # servers don't cancel an application whose client has gone: they say so to who asks
+        gone = asyncio.ensure_future(body.gone()) if held else None
         try:
-            await self.broker.call(ask, perform)
+            await asyncio.wait({call, gone} if gone else {call}, return_when=asyncio.FIRST_COMPLETED)
+            if not call.done() and not (last and last[-1].begun):
+                call.cancel()  # nobody is there to answer
+                return
+            await call
         except (RefusedError, FailedError, BoxError) as fault:
             if last and last[-1].begun:
                 raise AnswerBrokenError("a box failed after the response had begun") from fault
             raise
+        finally:
+            for task in (call, gone):
+                if task is not None and not task.done():
+                    task.cancel()
+            await asyncio.gather(call, *([gone] if gone else []), return_exceptions=True)
 
     async def _lifespan(self, scope: Scope, receive: Receive, send: Send) -> None:
         """The broker takes calls before the application starts, and refuses them once it is to stop."""
--- a/tests/test_middlewares.py
+++ b/tests/test_middlewares.py
@@ -17,6 +17,7 @@
 from starlette.routing import Route
 from starlette.testclient import TestClient
 
+from harriertide.engine.clock import until
 from harriertide.library import Ask, Attempt, Box, BoxBrokeError, BoxError, BoxFullError, Broker, Fixed, asgi
 from harriertide.library.bodies import Holding
 from harriertide.library.web import ATTEMPT
@@ -200,6 +201,45 @@
     assert play(kind, never, gets("/box/0", 503), *boxes).ran == []
 
 
+@both
+def test_a_client_that_goes_ends_the_work_done_for_it(kind: str) -> None:
+    ends: list[str] = []
+
+    async def client(session: ClientSession, base: str) -> None:
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.15):
+                await session.get("/box/0")
+        loop = asyncio.get_running_loop()
+        while broker.core.counts["left"] == 0:
+            await until(loop.time() + 0.01)
+
+    broker = Broker(LONE, BOXES, seed=1)
+
+    async def main() -> None:
+        seen = Seen()
+        async with asyncio.timeout(10):
+            async with (
+                APPS[kind](broker, seen, never, Holding()) as port,
+                ClientSession(f"http://127.0.0.1:{port}") as session,
+            ):
+                await client(session, "")
+
+    slow = broker.call
+
+    async def slower(ask: Ask, perform: Any) -> Any:
+        async def first(attempt: Attempt) -> Any:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ends.append("ended")
+
+        return await slow(ask, first)
+
+    broker.call = slower  # type: ignore[method-assign]
+    asyncio.run(main())
+    assert ends == ["ended"] and broker.core.owed() == 0 and broker.core.counts["left"] == 1
+
+
 def test_an_application_that_stops_answers_what_is_open_and_refuses_what_comes() -> None:
     broker = Broker(LONE, BOXES, seed=1)
 
