Drop a held 500 page when its attempt is given up, and stop a request without a search

Cause, found reading the change once more: the ASGI guard let go of a framework's held 500 page on any end but a box's fault, so also when the attempt's time ran out behind it; the client got 500 for what was to be refused. Runtime.stop looked through all open attempts to stop those of one request.

Change: a cancelled attempt's page is dropped; stop looks up the few numbers that a request's attempts can have.

Measured: the new test gets 503 and fails without the change.

--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -86,8 +86,9 @@
 
     def stop(self, request: str) -> None:
         """Stop what runs for a request whose client is gone; it ends as cancelled."""
-        for key, task in self._tasks.items():
-            if key[0] == request:
+        for number in range(self.core.settings.max_attempts):
+            task = self._tasks.get((request, number))
+            if task is not None:
                 task.cancel()
 
     async def close(self, by: float) -> None:
--- a/harriertide/library/asgi.py
+++ b/harriertide/library/asgi.py
@@ -162,8 +162,8 @@
             own = {**scope, "state": {**scope.get("state", {}), "attempt": attempt}}
             try:
                 await self.app(own, body.once(), answer.take)
-            except BoxError:
-                raise  # what was held was the framework's page for it
+            except (BoxError, asyncio.CancelledError):
+                raise  # what was held was the framework's page for it, or of an attempt that is given up
             except BaseException:
                 await answer.go_on()
                 raise
--- a/tests/test_middlewares.py
+++ b/tests/test_middlewares.py
@@ -271,6 +271,34 @@
     asyncio.run(asyncio.wait_for(main(), 10))
 
 
+def test_a_held_page_of_an_attempt_that_is_given_up_is_not_sent() -> None:
+    """Guards against a 500 that reaches the client although the attempt's time ran out behind it."""
+    sent: list[Any] = []
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        await send({"type": "http.response.start", "status": 500, "headers": []})
+        await asyncio.Event().wait()
+
+    async def receive() -> Any:
+        if not sent and not asked_for:
+            asked_for.append(1)
+            return {"type": "http.request", "body": b"", "more_body": False}
+        await asyncio.Event().wait()
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    asked_for: list[int] = []
+
+    async def main() -> None:
+        async with Broker(LONE, BOXES, seed=1) as broker:
+            guard = asgi.Guard(app, broker, lambda scope: Ask("v", shard=0))
+            await guard({"type": "http", "path": "/", "headers": []}, receive, send)
+
+    asyncio.run(asyncio.wait_for(main(), 10))
+    assert [message["status"] for message in sent if "status" in message] == [503]
+
+
 def test_under_starlettes_own_test_client() -> None:
     seen, broker = Seen(), Broker(LONE, BOXES, seed=1)
     app = starlette_app(broker, seen, lambda n: BoxError() if n == 1 else None, Holding())
