Place new objects of a head at eight near shards, so that it keeps connections there

Three in ten requests are new objects, and `_place` drew the nodes it looks at anew from all for each (rules.py, sample over `fit`), so nearly each opened a connection. Change: deterministic subsetting over shards, `_near`: each turn of heads deals out all shards once, in an order of its own; a head looks among its eight, all where it would look at more; where too few of them are fit, among all.

And the backoff of calls to discovery grew to 40 s for 200 heads, 60 s with jitter, past the 40 s after which a head counts as told; it is bounded by the settings' askWithinUs.

--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -1,10 +1,9 @@
 """The decision module of harriertide. Its interface, types, events and actions, is harriertide/decide/api.py.
 
-The ordinary path: every round each head tells the shard's keeper (a head found by a stable hash,
-the next is its standby) the units offered to it and served through it, the bid, and hears the sums;
-it takes a demand-proportional slice of what a pressured shard can do as tokens, and admits by percent
-thinning over the rest of the round. Admitted requests wait for room under the bound and leave
-earliest due first. Sections in the order of a request's life."""
+The ordinary path: every round each head tells the shard's keeper (a head found by a stable hash, the next
+is its standby) the units offered to it and served through it, the bid, and hears the sums; it takes a
+demand-proportional slice of what a pressured shard can do as tokens, and admits by percent thinning over the
+rest of the round. Admitted requests wait for room under the bound and leave earliest due first."""
 
 from __future__ import annotations
 
@@ -49,7 +48,7 @@
 CEILING = 32  # requests out at a node, whatever was learned
 HOLD_PART = 0.3  # part of the aims that held work may need before the least worth is given up
 LOOK_US = 10_000  # how often held work is looked at, and only where some is held
-LOOKS = 4  # even parts of the nodes that a head looks at for a new object
+LOOKS, NEAR = 4, 8  # even parts of the nodes that a head looks at for a new object; shards it looks among
 # Health and further attempts
 SILENT_STREAK = 3  # attempts in a row that ended without a sign of life
 TRIAL_US = 250_000  # between single trial requests at a silent node
@@ -100,8 +99,8 @@
     def _settle(self, settings: api.Settings) -> None:
         """Take new figures; classes and plans keep their places, new ones come after them."""
         if FLEET(settings) != FLEET(self._s):
-            # Numbers of heads may mean others now: their bids are told anew, to other keepers. What others
-            # have spent and given at cold nodes is not known: counted as all of it.
+            # Numbers of heads may mean others now, with other keepers. What others have spent and given at
+            # cold nodes is not known: counted as all of it.
             self._tallies.clear()
             self._uses.clear()
             for node in self._nodes.values():
@@ -113,6 +112,11 @@
         # parts under a large request serve nobody: there the first keeper holds all
         small = GIVEN * settings.cold_units < settings.most_units
         self._even, self._given = (1.0, 0.0) if self._alone else (0.0, 1.0) if small else (EVEN, GIVEN)
+        # deterministic subsetting: each turn of heads deals out all shards once, in an order of its own
+        size = min(settings.shards, max(NEAR, ceil(LOOKS * settings.shards / settings.heads)))
+        turn, place = divmod(settings.head, settings.shards // size)
+        order = Random(turn).sample(range(settings.shards), settings.shards)
+        self._near = frozenset(order[place * size :][:size])
         self._usual += [0.0] * (len(settings.classes) - len(self._usual))
         self._aim = min(kind.aim_us for kind in settings.classes)
         self._top = max(k.worth * p.price for k in settings.classes for p in settings.plans) or 1.0
@@ -128,7 +132,8 @@
             # heads that start together do not bid together
             self._round_end = self._now + int(ROUND_US * (0.5 + self._random.random()))
             if self._s.ask_for_list:
-                self._at(self._now + int(self._random.random() * CALL_SPREAD_US * self._s.heads), None)
+                spread_us = min(CALL_SPREAD_US * self._s.heads, self._s.ask_within_us // 2)
+                self._at(self._now + int(self._random.random() * spread_us), None)
         for event in events:
             if isinstance(event, api.Arrival):
                 self._arrive(event)
@@ -189,16 +194,12 @@
             elif pressed:  # dues count only there, and bids on them cost as much as those on shards
                 self._say(self._keepers(volume.key)[0], USE, volume.key, [volume.rate])
         self._forget()
-        mute = self._unheard > 0 and self._now - self._heard_us > BID_LIFE_US
-        if mute != self._mute:
-            self._mute = mute
-            self._actions.append(api.Log("no sums heard: even slices" if mute else "sums heard again"))
+        if (self._unheard > 0 and self._now - self._heard_us > BID_LIFE_US) != self._mute:
+            self._mute = not self._mute
+            self._actions.append(api.Log("no sums heard any more" if self._mute else "sums heard again"))
 
     def _forget(self) -> None:
-        """Let go of volumes, sums and nodes once nothing that is known of them can matter any more.
-
-        A volume's stores are full again by then, as those of a new one are; a node's cold time is over.
-        """
+        """Let go of what can't matter any more: a volume's stores are full, a node's cold time is over."""
         while self._resting and self._now - next(iter(self._resting.values())) > self._rest_us:
             volume = next(iter(self._resting))
             del self._resting[volume], self._volumes[volume]
@@ -254,8 +255,8 @@
                 tally.learn_us = self._now + ROUND_US
                 tally.strain += SMOOTH * (min(2.0, tally.sums[7] / max(0.01, tally.sums[6])) - tally.strain)
                 self._learn(tally)
-            state = tally.learned + 2 * tally.pressed
-            row = [*tally.sums[:6], tally.capacity, tally.sums[8], tally.strain, state]
+            flags = tally.learned + 2 * tally.pressed
+            row = [*tally.sums[:6], tally.capacity, tally.sums[8], tally.strain, flags]
             self._say(head, SUM, key, row)
             if tally.pressed != tally.warned or (tally.pressed and self._now >= tally.warn_us):
                 # those who seldom meet the shard would each find out by what they lose there
@@ -302,10 +303,10 @@
         relief = RELIEF * (2 if sum(cell.totals) < self._s.heads * self._s.mean_units else 1)
         left = pool = (TARGET - relief * min(0.7, max(0.0, cell.strain_all - EASE_AIM))) * cell.capacity
         own = sum(cell.demand)
-        if self._now - cell.heard_us > BID_LIFE_US:
+        if not cell.learned and self._now - cell.heard_us > BID_LIFE_US:  # fresh, or never told of its rate
             cell.rate = pool / self._s.heads
             cell.chance = [min(1.0, cell.rate / max(0.01, own))] * BANDS
-        else:
+        else:  # lost sums are bridged by the last ones: an even slice of hundreds of heads serves nobody
             cell.rate = 0.0
             for band, total in enumerate(cell.totals):
                 take = min(left, total)
@@ -356,8 +357,7 @@
 
     def _weigh(self, request: Request, cell: Cell) -> None:
         """Worth a unit, by class, plan and what is still due to the volume, as seen from here."""
-        event, plan = request.arrival, self._s.plans[request.arrival.plan]
-        volume = request.volume
+        event, plan, volume = request.arrival, self._s.plans[request.arrival.plan], request.volume
         self._using[volume.key] = volume
         self._resting.pop(volume.key, None)
         volume.offer += event.units
@@ -473,12 +473,15 @@
     def _place(self, units: float) -> Cell | None:
         """The shard with the least waiting, counted in its own speed; later reads will follow.
 
-        A head looks at a few even parts of the nodes, drawn anew: all would meet at the best, or first.
+        A head looks at a few of its near shards, drawn anew: all would meet at the best, or first. Its near
+        ones stay the same, so that it has connections there, which cost a node work for each object else.
         """
         places = ((cell, node) for cell in self._cells.values() for node in cell.nodes.values())
         fit = [place for place in places if place[1].live and not place[1].silent]
         if not self._alone:
-            fit = self._random.sample(fit, min(len(fit), max(2, ceil(LOOKS * len(fit) / self._s.heads))))
+            looks = max(2, ceil(LOOKS * len(fit) / self._s.heads))
+            near = [place for place in fit if place[0].shard in self._near]
+            fit = self._random.sample(near if len(near) >= looks else fit, min(len(fit), looks))
 
         def waiting(place: tuple[Cell, Node]) -> float:
             cell, node = place
@@ -494,9 +497,10 @@
         """Follow the node list; ask again, with backoff, after a failed call."""
         if event.kind == "failed":
             if self._s.ask_for_list:
-                # seeded jitter: hundreds of heads that were turned away together must not return together
                 self._at(self._now + int(self._ask_wait * (0.5 + self._random.random())), None)
-                self._ask_wait = min(max(ASK_MOST_US, CALL_MOST_US * self._s.heads), 2 * self._ask_wait)
+                # jitter, as hundreds are turned away together; and under the time that a failure allows
+                most = min(max(ASK_MOST_US, CALL_MOST_US * self._s.heads), 2 * self._s.ask_within_us)
+                self._ask_wait = min(most, 2 * self._ask_wait)
             return
         self._ask_wait = max(ASK_FIRST_US, CALL_FIRST_US * self._s.heads)
         if event.kind != "changes":
@@ -550,8 +554,7 @@
             request.line.rest_us = self._now + self._s.key_rest_us + self._s.tick_us
         self._health(event, node)
         self._touched[cell.shard] = self._active[cell.shard] = cell
-        # No sign of life is no figure of how busy a node is, however long it was waited for: counted like a
-        # 'full', a few lost connections look like nothing, and a node that answers nothing like pressure.
+        # no sign of life is no figure of how busy a node is: it counts like a 'full', however long it took
         plain = event.kind == "full" or event.kind in NO_LIFE
         took = 1.0 if plain else (self._now - request.taken_us) / request.kind.aim_us
         if event.kind != "cancelled":
@@ -578,10 +581,9 @@
             self._hold(request)
 
     def _health(self, event: api.Outcome, node: Node) -> None:
-        """Silence: attempts in a row end with no sign of life.
+        """Silence: attempts in a row end with no sign of life. A single answer ends it.
 
-        Guards against dead machines, cut links, hung processes and full connection tables, which would hold
-        requests until their time is up. Could hurt where a node is merely very slow; a single answer ends it.
+        Guards against dead machines, cut links, hung processes and full connection tables.
         """
         if event.kind in NO_LIFE:
             # nothing listens there: it says as much as several that were not answered
@@ -598,10 +600,9 @@
     def _overtake(self, node: Node, sent_us: int) -> None:
         """Give up attempts that hang, as the node has answered what it was sent later.
 
-        Guards against connections that fall silent or bring half an answer: what hangs on one would hold its
-        request and its part of the bound until the client's time is up. A node takes requests in turn of
-        arrival, so one that is merely slow or paused answers the earlier ones first. Could hurt where a large
-        request shares its node with many small ones: hence the patience by size.
+        Guards against connections that fall silent or bring half an answer. A node takes requests in turn of
+        arrival: one merely slow or paused answers the earlier ones first. Could hurt where a large request
+        shares its node with many small ones: hence the patience by size.
         """
         for request, count in list(node.flying.items()) if self._s.may_cancel else ():
             since_us = request.out[request.sent - 1][1]
@@ -678,24 +679,21 @@
         return node.started_us > 0 and self._now < node.started_us + self._s.cold_us
 
     def _fits(self, node: Node, units: float, gift: bool) -> bool:
-        """Rule 4: whether a part of what a cold node bears in a window, at the window's start, has room.
-
-        The safe units hold at the start; they rise with the slowest rise that a node may have.
-        """
+        """Rule 4: whether a part of what a cold node bears in a window, at the window's start, has room."""
         held = self._given if self._given < 1 or self._keepers(node.shard)[0] == self._s.head else 0.0
         spent, part = (node.given, held) if gift else (node.spent, self._even / self._s.heads)
         span_us = self._s.fall_us + (GIFT_US if gift else 0)
         while spent and spent[0][0] <= self._now - span_us - self._s.tick_us:
             spent.popleft()
         age = max(0, self._now - span_us - node.started_us) / max(1, self._s.cold_us)
+        # the safe units are the start's; they rise with the slowest rise that a node may have
         bears = self._s.cold_units * (1 + min(1.0, age) * (1 / self._s.cold_from - 1))
         return sum(u for _, u in spent) + units <= bears * part
 
     def _cold_room(self, node: Node, units: float) -> bool:
-        """Its own even part, or a gift of a keeper, who holds the rest.
+        """Its own even part, or a gift of a keeper, who holds the rest and takes it off before it tells.
 
-        A keeper takes a gift off its part before it tells; it ends GIFT_US after it was asked for, on the
-        asker's clock, so no window holds more than the gifts of itself and GIFT_US before.
+        It ends GIFT_US after it was asked for: no window holds more than its own and GIFT_US's before.
         """
         if self._gifted(node, units) or self._fits(node, units, gift=False):
             return True
--- a/harriertide/decide/settings.py
+++ b/harriertide/decide/settings.py
@@ -34,6 +34,7 @@
         cold_us=safety["coldUs"],
         fall_us=safety["fallUs"],
         ask_for_list=raw["membershipMode"] == "ask",
+        ask_within_us=safety.get("askWithinUs") or 10_000_000,
         may_tell=limits["peers"],
         may_say_when=limits["retryAfter"],
         may_cancel=bool(limits.get("cancel")),
