Tell the sums of a pressured shard to the brokers that use it, not to all

A keeper told all 200 brokers once a second of each pressured shard (rules.py, `_row`), 40 and more of 119 shards at a time: the square of the fleet. Few of them use the shard: a broker has demand on 6 to 13 at a time. Change: a keeper remembers who has bid on its shard within a minute (`Tally.users`) and tells those.

--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -25,7 +25,7 @@
 REST_US = 60_000_000  # a volume without demand is forgotten after so long at the earliest
 BID_LEAST = 0.1  # demand, in mean requests a second, below which a head bids no more
 LEAD = 2.0  # even parts of a volume's dues that a head takes until it hears: the lead uses more
-WARN_US = 1_000_000  # between sums of a pressured shard to all heads, asked or not
+WARN_US = 1_000_000  # between sums of a pressured shard to all heads that use it, asked or not
 # Learned capacity
 SAMPLE = 0.15  # weight of one answer in the running latency figures
 PRESS_AIM = 0.5  # answers that take this part of their aim, waiting included: pressure
@@ -259,9 +259,9 @@
             row = [*tally.sums[:6], tally.capacity, tally.sums[8], tally.strain, flags]
             self._say(head, SUM, key, row)
             if tally.pressed != tally.warned or (tally.pressed and self._now >= tally.warn_us):
-                # those who seldom meet the shard would each find out by what they lose there
+                # those who meet the shard now and then would each find out by what they lose there
                 tally.warned, tally.warn_us = tally.pressed, self._now + WARN_US
-                for other in {*range(self._s.heads * self._s.may_tell)} - {head, self._s.head}:
+                for other in tally.users.keys() - {head, self._s.head}:
                     self._say(other, SUM, key, row)
         elif kind == SUM and key in self._cells:
             cell = self._cells[key]
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -7,6 +7,8 @@
 
 from harriertide.decide import api
 
+USER_US = 60_000_000  # a head that has not bid on a shard for so long is no user of it any more
+
 
 @dataclass(slots=True, eq=False)
 class Request:
@@ -151,6 +153,7 @@
     warned: bool = False  # all heads were told that it is pressed
     warn_us: int = 0
     strain: float = 0.0
+    users: dict[int, int] = field(default_factory=dict)  # heads that bid, and when: longest ago first
 
     def put(self, head: int, now_us: int, figures: list[float], life_us: int) -> None:
         """Take the place of this head's last row; drop those older than life_us."""
@@ -158,5 +161,9 @@
         while self.rows and now_us - next(iter(self.rows.values()))[0] > life_us:
             old.append(self.rows.pop(next(iter(self.rows))))
         self.rows[head], self.heard_us = (now_us, figures), now_us
+        self.users.pop(head, None)
+        self.users[head] = now_us
+        while now_us - next(iter(self.users.values())) > USER_US:
+            del self.users[next(iter(self.users))]
         for i, figure in enumerate(figures):
             self.sums[i] = max(0.0, self.sums[i] + figure - sum(row[i] for _, row in old))
