--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -22,7 +22,7 @@
 ROUND_US = 300_000  # between bids; the page's 2 s lets a surge of 5 to 15 s run wild too long
 BID_LIFE_US = 3_200_000  # lost bids and sums are bridged by the last ones so long (thesis, 5.6)
 SMOOTH = 0.5  # weight of the newest round in the demand figures; bids are noisy, surges quick
-REST_US = 60_000_000  # a volume without demand is forgotten after so long at the earliest
+REST_US = 60_000_000  # a volume without demand, and who uses a shard, is forgotten after so long, or later
 BID_LEAST = 0.1  # demand, in mean requests a second, below which a head bids no more
 LEAD = 2.0  # even parts of a volume's dues that a head takes until it hears: the lead uses more
 WARN_US = 1_000_000  # between sums of a pressured shard to all heads that use it, asked or not
@@ -241,22 +241,22 @@
             self._gift(head, kind, key, figures)
         elif kind == USE:
             tally = self._uses[key] = self._uses.pop(key, Tally([0.0]))
-            tally.put(head, self._now, figures, BID_LIFE_US)
+            tally.put(head, self._now, figures, BID_LIFE_US, BID_LIFE_US)
             self._say(head, DUE, key, list(tally.sums))
         elif kind == DUE and key in self._volumes:
             volume = self._volumes[key]
             volume.part = min(1.0, volume.rate / max(0.01, figures[0]))
         elif kind == BID:
             tally = self._tallies.setdefault(key, Tally([0.0] * 9))
-            tally.put(head, self._now, figures[:9], BID_LIFE_US)
+            tally.put(head, self._now, figures[:9], BID_LIFE_US, REST_US)
             if not tally.learned:  # a keeper that has restarted, or a standby: what the bidders know
                 tally.capacity = max(tally.capacity, figures[9])
             if self._now >= tally.learn_us:
                 tally.learn_us = self._now + ROUND_US
                 tally.strain += SMOOTH * (min(2.0, tally.sums[7] / max(0.01, tally.sums[6])) - tally.strain)
                 self._learn(tally)
-            flags = tally.learned + 2 * tally.pressed
-            row = [*tally.sums[:6], tally.capacity, tally.sums[8], tally.strain, flags]
+            state = tally.learned + 2 * tally.pressed
+            row = [*tally.sums[:6], tally.capacity, tally.sums[8], tally.strain, state]
             self._say(head, SUM, key, row)
             if tally.pressed != tally.warned or (tally.pressed and self._now >= tally.warn_us):
                 # those who meet the shard now and then would each find out by what they lose there
@@ -497,10 +497,11 @@
         """Follow the node list; ask again, with backoff, after a failed call."""
         if event.kind == "failed":
             if self._s.ask_for_list:
-                self._at(self._now + int(self._ask_wait * (0.5 + self._random.random())), None)
                 # jitter, as hundreds are turned away together; and under the time that a failure allows
                 most = min(max(ASK_MOST_US, CALL_MOST_US * self._s.heads), 2 * self._s.ask_within_us)
-                self._ask_wait = min(most, 2 * self._ask_wait)
+                wait_us = max(ASK_FIRST_US, min(most, self._ask_wait))
+                self._at(self._now + int(wait_us * (0.5 + self._random.random())), None)
+                self._ask_wait = 2 * wait_us
             return
         self._ask_wait = max(ASK_FIRST_US, CALL_FIRST_US * self._s.heads)
         if event.kind != "changes":
@@ -600,9 +601,8 @@
     def _overtake(self, node: Node, sent_us: int) -> None:
         """Give up attempts that hang, as the node has answered what it was sent later.
 
-        Guards against connections that fall silent or bring half an answer. A node takes requests in turn of
-        arrival: one merely slow or paused answers the earlier ones first. Could hurt where a large request
-        shares its node with many small ones: hence the patience by size.
+        Guards against connections that fall silent or bring half an answer: one merely slow or paused answers
+        in turn of arrival. Could hurt large requests among many small ones: hence the patience by size.
         """
         for request, count in list(node.flying.items()) if self._s.may_cancel else ():
             since_us = request.out[request.sent - 1][1]
@@ -693,7 +693,7 @@
     def _cold_room(self, node: Node, units: float) -> bool:
         """Its own even part, or a gift of a keeper, who holds the rest and takes it off before it tells.
 
-        It ends GIFT_US after it was asked for: no window holds more than its own and GIFT_US's before.
+        It ends GIFT_US after the ask, by the asker's clock: a window holds only its own and GIFT_US's before.
         """
         if self._gifted(node, units) or self._fits(node, units, gift=False):
             return True
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -7,8 +7,6 @@
 
 from harriertide.decide import api
 
-USER_US = 60_000_000  # a head that has not bid on a shard for so long is no user of it any more
-
 
 @dataclass(slots=True, eq=False)
 class Request:
@@ -150,20 +148,20 @@
     learned: bool = False
     pressed: bool = False
     learn_us: int = 0
-    warned: bool = False  # all heads were told that it is pressed
+    warned: bool = False  # its users were told that it is pressed
     warn_us: int = 0
     strain: float = 0.0
     users: dict[int, int] = field(default_factory=dict)  # heads that bid, and when: longest ago first
 
-    def put(self, head: int, now_us: int, figures: list[float], life_us: int) -> None:
-        """Take the place of this head's last row; drop those older than life_us."""
+    def put(self, head: int, now_us: int, figures: list[float], life_us: int, use_us: int) -> None:
+        """Take the place of this head's last row; drop those older than life_us, users than use_us."""
         old = [self.rows.pop(head)] if head in self.rows else []
         while self.rows and now_us - next(iter(self.rows.values()))[0] > life_us:
             old.append(self.rows.pop(next(iter(self.rows))))
         self.rows[head], self.heard_us = (now_us, figures), now_us
         self.users.pop(head, None)
         self.users[head] = now_us
-        while now_us - next(iter(self.users.values())) > USER_US:
+        while now_us - next(iter(self.users.values())) > use_us:
             del self.users[next(iter(self.users))]
         for i, figure in enumerate(figures):
             self.sums[i] = max(0.0, self.sums[i] + figure - sum(row[i] for _, row in old))
