--- a/tests/test_level.py
+++ b/tests/test_level.py
@@ -16,7 +16,7 @@
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
 from harriertide.decide import api, rules
-from harriertide.decide.notes import USE, encode
+from harriertide.decide.notes import BID, USE, encode
 from harriertide.engine.clock import until
 from tests.census import census
 from tests.helpers import SETTINGS, START_US
@@ -27,7 +27,7 @@
 MOST = 64  # members of any container at rest
 
 
-def churn(core: Reducer, requests: int, nodes: int, seed: int = 1) -> int:
+def churn(core: Reducer, requests: int, nodes: int, seed: int = 1, step_us: int = STEP_US) -> int:
     """Requests that end in every way, for volumes that come and go, while each node is replaced in turn."""
     draw = random.Random(seed)
     now, made = START_US, 0
@@ -38,7 +38,7 @@
         return ev.Listed(api.NodeList(kind, (replace(entry, state=state),)))  # type: ignore[arg-type]
 
     for number in range(requests):
-        now += STEP_US
+        now += step_us
         happened: list[ev.Event] = []
         while made < SHARDS * EACH or made * requests < number * nodes:
             entry = api.NodeEntry(f"n{made}", made % SHARDS, "live", 0, now if made % 5 == 0 else 0)
@@ -66,6 +66,8 @@
         if draw.random() < 0.1:  # volumes of other brokers, summed up here
             for body in encode(USE, [(draw.randrange(2**32), [9.0])]):
                 happened.append(ev.Heard(1, body))
+            row = (draw.randrange(SHARDS), [1.0] * 10)  # and their shards
+            happened.append(ev.Heard(draw.randrange(core.settings.heads), encode(BID, [row])[0]))
         while out and (len(out) > 20 or draw.random() < 0.6):
             ended = out.pop(draw.randrange(len(out)))
             kind: Any = draw.choice(("ok", "ok", "ok", "error", "full", "timeout", "reset", "cancelled"))
@@ -87,6 +89,13 @@
     assert census(core, MOST) == {}
 
 
+def test_hours_of_changing_volumes_nodes_and_peers_leave_no_more_than_the_heads_there_are() -> None:
+    core = Reducer(replace(SETTINGS, heads=200), 1)
+    assert churn(core, REQUESTS, NODES, step_us=100_000) >= NODES  # nearly three hours
+    assert core.counts["served"] > 1_000 and core.owed() == 0
+    assert census(core, 201) == {}
+
+
 CONNECTIONS, TOGETHER = 20_000, 50
 
 
