Pass requests on as the bytes that came, and keep a pushed list's watch up

Cause: PlatformJob (platform/front.py) built an attempt's header anew from X-Call-Id and Content-Type; Idempotency-Key was lost. Fields now go on as they came, less those of one hop (RFC 9110, 7.6.1), with X-Budget-Ms and Content-Length written anew. Seen: drains sent to 0.57 s after they were told. Where the list is pushed the watch is now opened at the start and kept up by platform/discovery.py, at once after a cut and every 0.1 s where it is turned away, as asking the agent is free. Changes older than the list held are passed over. Tests: tests/test_deployments.py, every field compared byte for byte at the stand-in; pushed lists cut, silent, nonsense, doubled and out of order.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -139,7 +139,8 @@
         self.peers: Peers | None = None
         self.objects: ObjectService | None = None
         if config is not None:
-            self.watch = Watch(config.discovery, self.directory, self.runtime.post)
+            pushed = not config.settings.ask_for_list
+            self.watch = Watch(config.discovery, self.directory, self.runtime.post, pushed)
             self.peers = Peers(config.peers, config.settings.head, self.runtime.post)
             self.runtime.watch, self.runtime.tell = self.watch.open, self.peers.tell
             self.runtime.post(ev.Listed(self.directory.read(known, "held")))
@@ -205,6 +206,8 @@
             if config.peer_listen is not None and self.peers is not None:
                 peers = self.peers
                 await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+            if self.watch is not None and not config.settings.ask_for_list:
+                self.watch.open()  # nobody asks for a list that is pushed
             await self._listen(config.listen, PlatformServer(self.front, self.room))
         if self.objects is not None:
             for at, web_server in self.objects.servers(self.room):
--- a/harriertide/http/nodes.py
+++ b/harriertide/http/nodes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -19,6 +19,7 @@
 from harriertide.http.lines import Line, Pool
 
 Body = bytes | AsyncIterator[bytes]
+Headers = Mapping[str, str] | Sequence[tuple[bytes, bytes]]
 KEEP_PART = 0.5  # of the node's idle time: a request that crosses its close would end as a reset
 BODY_BYTES = 64 * 1024  # of an answer, where no more is asked for
 
@@ -68,10 +69,19 @@
     return "error"
 
 
-def _head(method: str, target: str, headers: Mapping[str, str]) -> bytes:
+def _rows(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Header fields as bytes: those of a request that passes through stay the ones that came."""
+    if not isinstance(headers, Mapping):
+        return list(headers)
+    return [(name.encode(), value.encode("utf-8", "surrogateescape")) for name, value in headers.items()]
+
+
+def _head(method: str, target: str, rows: list[tuple[bytes, bytes]]) -> bytes:
     """Request line and headers, with the bytes that came: parsers decode them just so."""
-    rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return f"{method} {target} HTTP/1.1\r\n{rows}\r\n".encode("utf-8", "surrogateescape")
+    if not any(name.lower() == b"host" for name, _ in rows):
+        rows = [(b"Host", b"service.internal"), *rows]
+    first = f"{method} {target} HTTP/1.1\r\n".encode("utf-8", "surrogateescape")
+    return first + b"".join(b"%b: %b\r\n" % row for row in rows) + b"\r\n"
 
 
 class NodeClient:
@@ -95,7 +105,7 @@
         attempt: Attempt,
         method: str,
         target: str,
-        headers: Mapping[str, str],
+        headers: Headers,
         body: Body = b"",
         most: int | None = BODY_BYTES,
     ) -> AsyncIterator[Incoming]:
@@ -121,7 +131,7 @@
                     self.pool.rest(line)
                     line = None
                     raise BrokenError(kind)
-                line.ask(_head(method, target, {"Host": "service.internal", **headers}) + first, most)
+                line.ask(_head(method, target, _rows(headers)) + first, most)
                 self.pool.begin(line, attempt.request)
                 asked = True
                 if not isinstance(body, bytes):
@@ -197,11 +207,11 @@
             raise
 
     async def exchange(
-        self, attempt: Attempt, method: str, target: str, headers: Mapping[str, str], body: bytes
+        self, attempt: Attempt, method: str, target: str, headers: Headers, body: bytes
     ) -> tuple[api.OutcomeKind, Reply | None]:
         """One whole exchange with a bounded answer."""
         if body or method != "GET":
-            headers = {**headers, "Content-Length": str(len(body))}
+            headers = [*_rows(headers), (b"Content-Length", b"%d" % len(body))]
         try:
             async with self.open(attempt, method, target, headers, body, most=None) as answer:
                 reply = Reply(answer.status, answer.headers, await answer.read())
--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -18,6 +18,9 @@
 # Guards against a discovery that vanished without a reset: an empty line is due every 2 s, and a change
 # counts as told 6 s later at the latest, so a watch this quiet is over.
 QUIET_S = 4.5
+# Lists that an agent pushes count as told as soon as it has them, and asking it costs nothing: there a watch
+# that ends is opened again by itself, at once and then this often, and one that is late is given up sooner.
+AGAIN_S, PUSH_HEAD_S, PUSH_QUIET_S = 0.1, 1.0, 2.5
 LINE_BYTES = 4 * 1024 * 1024
 _STATES = {"up": "live", "draining": "draining", "removed": "gone"}
 
@@ -48,6 +51,8 @@
         }
         seq = int(page["seq"])
         whole = bool(page.get("whole"))
+        if not whole and kind is None and seq < self.seq:
+            return api.NodeList("changes")  # older than what is held: it would bring back what is gone
         if whole:
             self._dial = {}
         self._dial.update(dials)
@@ -69,22 +74,30 @@
 
 
 class Watch:
-    """One watch at a time; the core decides when the next one opens.
+    """One watch at a time; the core decides when the next one opens, as each call costs discovery.
+
+    pushed: an agent on this machine has the list. Then nobody asks for it: the watch is kept up from here.
 
     When discovery moves, the watch on its old address goes on until the one on the new has told its list.
     """
 
-    def __init__(self, address: str, directory: Directory, post: Callable[[ev.Event], None]) -> None:
+    def __init__(
+        self, address: str, directory: Directory, post: Callable[[ev.Event], None], pushed: bool = False
+    ) -> None:
         self.counts: Counter[str] = Counter()
+        self._pushed, self._closed = pushed, False
+        self._again: asyncio.TimerHandle | None = None
+        self._head_s, self._quiet_s = (PUSH_HEAD_S, PUSH_QUIET_S) if pushed else (HEAD_S, QUIET_S)
         self.address = address
         self._directory, self._post = directory, post
         self._task: asyncio.Task[None] | None = None
         self._old: asyncio.Task[None] | None = None
         self._anew = False  # nothing was heard yet of the discovery at this address
+        self._heard = False  # the present watch has brought something
 
     def open(self) -> None:
         """Start watching, unless a watch is up."""
-        if self._task is None or self._task.done():
+        if not self._closed and (self._task is None or self._task.done()):
             self._task = asyncio.get_running_loop().create_task(self._follow(self.address))
 
     def move(self, address: str) -> None:
@@ -105,6 +118,9 @@
 
     async def close(self) -> None:
         """Stop watching, with no word to the core."""
+        self._closed = True
+        if self._again is not None:
+            self._again.cancel()
         tasks = [task for task in (self._task, self._old) if task is not None]
         for task in tasks:
             task.cancel()
@@ -112,6 +128,7 @@
 
     async def _follow(self, address: str) -> None:
         self.counts["opened"] += 1
+        self._heard = False
         try:
             await self._read(address)
             self.counts["ended"] += 1
@@ -121,6 +138,10 @@
         if asyncio.current_task() is self._task:  # not one on an address that discovery has left
             self._task = None
             self._post(ev.Listed(api.NodeList("failed")))
+            if self._pushed and not self._closed:
+                # one that had brought news is replaced at once, one that is turned away a little later
+                loop = asyncio.get_running_loop()
+                self._again = loop.call_later(0.0 if self._heard else AGAIN_S, self.open)
 
     async def _read(self, address: str) -> None:
         loop = asyncio.get_running_loop()
@@ -129,7 +150,7 @@
         limit = asyncio.timeout_at(loop.time() + CONNECT_S)
 
         async def connected(session: object, context: object, params: object) -> None:
-            limit.reschedule(loop.time() + HEAD_S)
+            limit.reschedule(loop.time() + self._head_s)
 
         trace.on_connection_create_end.append(connected)
         async with (
@@ -151,7 +172,7 @@
                         if len(page) > LINE_BYTES:
                             raise ValueError("a list without an end")
                     self._take(page, "whole")
-                limit.reschedule(loop.time() + HEAD_S)
+                limit.reschedule(loop.time() + self._head_s)
             watch = f"{url}?watch=1&after={self._directory.seq}"
             async with session.get(watch, allow_redirects=False) as response:
                 self._check(response)
@@ -165,9 +186,10 @@
     async def _lines(self, response: aiohttp.ClientResponse, limit: asyncio.Timeout) -> None:
         loop = asyncio.get_running_loop()
         rest = b""
-        limit.reschedule(loop.time() + QUIET_S)
+        limit.reschedule(loop.time() + self._quiet_s)
         async for chunk in response.content.iter_any():
-            limit.reschedule(loop.time() + QUIET_S)
+            self._heard = True
+            limit.reschedule(loop.time() + self._quiet_s)
             *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
             if len(rest) > LINE_BYTES:
                 raise ValueError("a line without an end")
--- a/harriertide/platform/fields.py
+++ b/harriertide/platform/fields.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from math import isfinite
 
 from harriertide.decide import api
@@ -16,11 +16,19 @@
 _ONCE = frozenset(
     (
         b"x-call-id", b"x-call-class", b"x-storage-class", b"x-budget-ms", b"x-extent", b"x-again",
-        b"content-length", b"transfer-encoding", b"content-type", b"host", b"expect",
+        b"content-length", b"transfer-encoding", b"content-type", b"host", b"expect", b"idempotency-key",
+    )
+)  # fmt: skip
+# Of one connection only (RFC 9110, 7.6.1), or written anew by this broker for its own to the box.
+_NOT_PASSED = frozenset(
+    (
+        b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
+        b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length", b"x-budget-ms",
     )
 )  # fmt: skip
 
 Fields = dict[bytes, bytes]
+Rows = Sequence[tuple[bytes, bytes]]
 
 
 class MalformedError(Exception):
@@ -41,6 +49,17 @@
     return fields
 
 
+def passed_on(raw: Rows) -> list[tuple[bytes, bytes]]:
+    """The header fields that go on to a box: all that came, as the bytes that came, less those of one hop.
+
+    Guards against a list of fields that happened to be enough: a box may act on any of them. What the field
+    Connection names goes no further (RFC 9110, 7.6.1), but one on which something is decided stays.
+    """
+    said = b",".join(value for name, value in raw if name.lower() == b"connection")
+    stopped = _NOT_PASSED | ({name.strip().lower() for name in said.split(b",")} - _ONCE)
+    return [(name, value) for name, value in raw if name.lower() not in stopped]
+
+
 def _text(fields: Fields, name: bytes) -> str:
     return fields.get(name, b"").decode("utf-8", "surrogateescape")
 
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -21,7 +21,7 @@
 from harriertide.engine.runtime import Attempt, Ending, Runtime
 from harriertide.http.clients import ClientLine, FrontServer, Room
 from harriertide.http.nodes import NodeClient, Reply
-from harriertide.platform.fields import Fields, MalformedError, read_arrival, read_fields
+from harriertide.platform.fields import Fields, MalformedError, passed_on, read_arrival, read_fields
 
 BODY_BYTES = 64 * 1024
 READY, SERVICE = "/health/ready", "/api"
@@ -35,23 +35,20 @@
     """One request of the platform on its way."""
 
     context = None
-    __slots__ = ("_client", "_line", "_method", "_target", "_headers", "_body")
+    __slots__ = ("_client", "_line", "_method", "_target", "_rows", "_body")
 
     def __init__(
         self, client: NodeClient, line: PlatformLine, message: RawRequestMessage, body: bytes
     ) -> None:
         self._client, self._line, self._body = client, line, body
         self._method, self._target = message.method, message.path
-        self._headers = {"X-Call-Id": line.request}
-        kind = line.fields.get(b"content-type")
-        if kind is not None:
-            self._headers["Content-Type"] = kind.decode("utf-8", "surrogateescape")
+        self._rows = passed_on(message.raw_headers)
 
     async def attempt(self, attempt: Attempt) -> Ending:
         """Pass the request on as it came, with the time that this broker will wait."""
         wait_ms = max(1, (attempt.stop_at_us - attempt.runtime.clock.now_us()) // 1000)
-        headers = {**self._headers, "X-Budget-Ms": str(wait_ms)}
-        return await self._client.exchange(attempt, self._method, self._target, headers, self._body)
+        rows = [*self._rows, (b"X-Budget-Ms", b"%d" % wait_ms)]
+        return await self._client.exchange(attempt, self._method, self._target, rows, self._body)
 
     def answer(self, answer: ev.Answer) -> None:
         """Write the final answer to the connection that waits for it."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,6 +6,7 @@
     b1 expect METHOD TARGET-PATTERN [Header=PATTERN ...] [body=TEXT]   (or: b1 expect nothing)
     b1 send STATUS [Header=Value ...] [body=TEXT]                      (or: b1 send bytes TEXT, with escapes)
     b1 made N                                                          it was connected to so often
+    b1 head BYTES                the head that it was last sent, byte for byte; escapes, * for what may vary
     c expect STATUS [Header=PATTERN ...] [body=PATTERN]                (or: c expect eof | c expect short)
     c send raw body=TEXT                                               more of a body
     c send / c send bytes TEXT                                         connect; bytes, with escapes
@@ -41,10 +42,12 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.head = False  # HEAD was asked for
+        self.raw = b""  # the last head as it came
 
     async def message(self, head: bool = False) -> tuple[list[str], Headers, bytes, bool]:
         """First line, headers, body, and whether the body is as long as it says. head: it has none."""
-        first, *rest = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")[:-2]
+        self.raw = await self.reader.readuntil(b"\r\n\r\n")
+        first, *rest = self.raw.decode("utf-8", "surrogateescape").split("\r\n")[:-2]
         headers = dict(row.split(": ", 1) for row in rest)
         if headers.get("Transfer-Encoding") == "chunked":
             return first.split(" ", 2), headers, b"", True
@@ -135,6 +138,11 @@
             if verb == "made":
                 assert self.stands[actor].made == int(words[0]), f"made {self.stands[actor].made}"
                 return
+            if verb == "head":
+                line = self.stands[actor].last
+                want = words[0].encode().decode("unicode_escape")
+                assert line is not None and fnmatchcase(line.raw.decode("latin-1"), want), f"{line.raw!r}"
+                return
             steps = {"send": self._answer, "expect": self._asked, "close": self._hang_up, "eof": self._ended}
             await steps[verb](actor, words)
         else:
--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,145 @@
+"""What deployments may differ in, on real sockets: fields that pass through, lists that are pushed."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.test_net import OK, WIRE, play
+
+PUSHED: dict[str, Any] = {**WIRE, "membershipMode": "push"}
+
+# Every field of the protocol's page, in odd cases and orders, unknown ones, one that comes twice, bytes that
+# are no text, and those of one hop, which end here.
+SENT = (
+    r"PUT /api?key=7F3a9c21e0b4d655&x=%41%2f HTTP/1.1\r\n"
+    r"Host: service.internal\r\nx-call-id: 9b1f03aa5c7e2d41\r\nX-Call-Class: page-read\r\n"
+    r"X-Storage-Class: gold\r\nIDEMPOTENCY-key: 9b1f03aa5c7e2d41\r\nX-Budget-Ms: 1500\r\n"
+    r"Content-Type: application/octet-stream\r\nX-Extent: volume=00000003b4d60021,units=2,shard=0,hosts=3\r\n"
+    r"X-Again: 1\r\nX-Unknown: a,  b\r\nx-unknown: \xff\xfe\r\nCookie: c=d\r\n"
+    r"Connection: keep-alive, X-Hop, x-call-id\r\nX-Hop: one\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\n"
+)
+PASSED = (
+    r"PUT /api[?]key=7F3a9c21e0b4d655&x=%41%2f HTTP/1.1\r\n"
+    r"Host: service.internal\r\nx-call-id: 9b1f03aa5c7e2d41\r\nX-Call-Class: page-read\r\n"
+    r"X-Storage-Class: gold\r\nIDEMPOTENCY-key: 9b1f03aa5c7e2d41\r\n"
+    r"Content-Type: application/octet-stream\r\nX-Extent: volume=00000003b4d60021,units=2,shard=0,hosts=3\r\n"
+    r"X-Again: 1\r\nX-Unknown: a,  b\r\nx-unknown: \xff\xfe\r\nCookie: c=d\r\n"
+    r"X-Budget-Ms: 1[0-9][0-9][0-9]\r\nContent-Length: 3\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "framing", [r"Content-Length: 3\r\n\r\nabc", r"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"]
+)
+def test_every_field_goes_on_as_the_bytes_that_came_on_each_attempt(framing: str, tmp_path: Path) -> None:
+    """Guards against fields that a box acts on (a key that makes repeats harmless) lost on the way."""
+    script = f"""
+        c send bytes '{SENT}{framing}'
+        b1 expect PUT /api* body=abc
+        b1 head '{PASSED}'
+        b1 send 500
+        b1 expect PUT /api* body=abc
+        b1 head '{PASSED}'
+        {OK}
+        c expect 200 body=data"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_a_second_key_is_refused(tmp_path: Path) -> None:
+    """Guards against a box that goes by one key and a broker that counts on the other."""
+    head = SENT + r"Idempotency-Key: other\r\nContent-Length: 3\r\n\r\nabc"
+    script = f"""
+        c send bytes '{head}'
+        c expect 400 body=*idempotency-key*twice*
+        d expect taken=0"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+WATCHED = """s expect GET /registry/instances?watch=1&after=7
+        s send 200 Transfer-Encoding=chunked
+        s send raw ''
+"""
+OLD = '{"host":"b1","dial":"127.0.0.1:1","block":0,"health":"up"}'
+LISTS = {
+    "a list that nobody asks for is watched from the start, and a drain in it ends sends": f"""
+        {WATCHED}
+        s send list b1=draining
+        wait 0.05
+        c send GET /api @0
+        c expect 503 Retry-After=0.*
+        b1 expect nothing
+        d expect watches=0""",
+    "a watch that is cut is there again at once, from what is known": f"""
+        {WATCHED}
+        s send list b1=up
+        wait 0.05
+        s close
+        s expect GET /registry/instances?watch=1&after=9
+        s send 200 Transfer-Encoding=chunked
+        s send list b1=draining
+        wait 0.05
+        c send GET /api @0
+        c expect 503""",
+    "an agent that turns the watch away or talks nonsense is asked again and again": """
+        s expect GET /registry/instances?watch=1&after=7
+        s send 503
+        s expect GET /registry/instances?watch=1&after=7
+        s send 200 Transfer-Encoding=chunked
+        s send raw nonsense
+        s expect GET /registry/instances?watch=1&after=7
+        s send 200 Transfer-Encoding=chunked
+        s send list b1=draining
+        wait 0.05
+        c send GET /api @0
+        c expect 503""",
+    "changes that come twice or out of order don't bring back what is gone": f"""
+        {WATCHED}
+        s send list b1=draining
+        s send list b1=draining
+        s send raw '{{"seq":8,"whole":false,"hosts":[{OLD}]}}'
+        wait 0.05
+        c send GET /api @0
+        c expect 503
+        s send raw '{{"seq":3,"whole":true,"hosts":[]}}'
+        wait 0.05
+        c send GET /api @1
+        c expect 503
+        s send list b2=up
+        wait 0.05
+        c send GET /api @1
+        b2 expect GET /api
+        b2 send 200
+        c expect 200""",
+}
+
+
+@pytest.mark.parametrize("script", LISTS.values(), ids=LISTS.keys())
+def test_pushed_lists(script: str, tmp_path: Path) -> None:
+    asyncio.run(play(script.lstrip(), objects=False, folder=tmp_path, wire=PUSHED))
+
+
+def test_an_agent_that_falls_silent_is_asked_again_and_heard_when_it_is_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    from harriertide.platform import discovery
+
+    monkeypatch.setattr(discovery, "PUSH_HEAD_S", 0.15)
+    monkeypatch.setattr(discovery, "PUSH_QUIET_S", 0.3)
+    script = f"""{WATCHED}
+        s expect GET /registry/instances?watch=1&after=7
+        s expect GET /registry/instances?watch=1&after=7
+        c send GET /api @0
+        b1 expect GET /api
+        {OK}
+        c expect 200
+        s expect GET /registry/instances?watch=1&after=7
+        s send 200 Transfer-Encoding=chunked
+        s send list b1=draining
+        wait 0.05
+        c send GET /api @0
+        c expect 503"""
+    asyncio.run(play(script, objects=False, folder=tmp_path, wire=PUSHED))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -681,6 +681,7 @@
     folder: Path,
     both: bool = False,
     beside: Callable[[Daemon], Awaitable[None]] | None = None,
+    wire: dict[str, Any] = WIRE,
 ) -> None:
     """Run one scenario, and then what the language has no words for; whatever it did, the core owes nobody
     anything at its end."""
@@ -709,17 +710,17 @@
             listen=address("127.0.0.1:0"),
             discovery=f"127.0.0.1:{ports['s']}",
             seed=1,
-            settings=from_wire(WIRE),
-            names=names_from_wire(WIRE),
+            settings=from_wire(wire),
+            names=names_from_wire(wire),
             peer_listen=None,
             peers=[],
             known={"seq": 7, "whole": True, "hosts": [world.host("b1", "up"), world.host("b2", "up")]},
-            raw_settings=WIRE,
+            raw_settings=wire,
         )
 
         def reload(changes: list[list[str]]) -> None:
             where = {"name": "n", "listen": "127.0.0.1:0", "discovery": config.discovery}
-            raw = copy.deepcopy({**where, "settings": WIRE})
+            raw = copy.deepcopy({**where, "settings": wire})
             for path, value in changes:
                 at: Any = raw
                 *way, last = [int(step) if step.isdigit() else step for step in path.split(".")]
