Use cold nodes as their answers prove, and thin in one way at heads of any size

Ruled out: shards without any node (5.7%, nobody else holds the data); the split of limits (used to 0.93 where two heads share, 0.96 where one has all). At fault: _fits (rules.py) gave what the settings call safe, 2 to 10 units a second here, with the slowest rise. Now the keeper sums up what all heads were answered by a cold node and how long that took: units over time are at most one core's rate, as nothing is quicker than a core, and each that waits makes it less. An ask carries both figures. The even fifth of each head is gone: keepers hold all of it. A shard whose node is cold counts as able to do what it bears, at once, so that what can't go there is turned away by worth and not by turn. _pass had two ways of thinning: a head's own tokens against a forecast, or, where it offers little, the chance of all heads together.

--- a/harriertide/decide/api.py
+++ b/harriertide/decide/api.py
@@ -74,6 +74,7 @@
     cold_from: float = 1.0
     cold_us: int = 0
     fall_us: int = 0
+    fall_multiple: float = 1.0  # a cold node falls over when sent so many times what it can do for fall_us
     ask_for_list: bool = False
     ask_within_us: int = 10_000_000  # unasked so long, a head counts as told; after a failure four times
     may_tell: bool = False
@@ -90,6 +91,7 @@
     def __post_init__(self) -> None:
         _at_least(self, 1, "heads", "shards", "max_attempts", "tick_us")
         _at_least(self, 0, "head", "cold_units", "cold_us", "fall_us", "max_retry_after_us", "ask_within_us")
+        _at_least(self, 1, "fall_multiple")
         _at_least(self, 0, "share_worth", "spare_worth", "cold_from", "key_rest_us", "extra_share")
         _at_least(self, 0, "mean_units", "most_units", "extra_span_us")
         _need(self.head < self.heads, "head", "must be below heads")
--- a/harriertide/decide/notes.py
+++ b/harriertide/decide/notes.py
@@ -14,7 +14,9 @@
 MAGIC = b"FT"
 BID, SUM, USE, DUE, ASK, GIFT = range(2, 8)  # kinds of message; 1 was the broadcast bid
 _SCALED = {kind: Struct(f"<I{count}B") for kind, count in ((BID, 10), (SUM, 10), (USE, 1), (DUE, 1))}
-_PLAIN = Struct("<IIBB")  # ask and gift: shard, start of the node, units, number of the ask
+# ask and gift: shard, start of the node, units, number of the ask; units answered since the last, their time
+_PLAIN = Struct("<IIBBBB")
+PROOF_US = 10_000  # of that time, a count of one
 
 
 def pack(value: float) -> int:
--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -2,8 +2,8 @@
 
 The ordinary path: every round each head tells the shard's keeper (a head found by a stable hash, the next
 is its standby) the units offered to it and served through it, the bid, and hears the sums; it takes a
-demand-proportional slice of what a pressured shard can do as tokens, and admits by percent thinning over the
-rest of the round. Admitted requests wait for room under the bound and leave earliest due first."""
+demand-proportional slice of what a pressured shard can do, the worth most first, and admits by percent
+thinning. Admitted requests wait for room under the bound and leave earliest due first."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from zlib import crc32
 
 from harriertide.decide import api
-from harriertide.decide.notes import ASK, BID, DUE, GIFT, SUM, USE, decode, encode
+from harriertide.decide.notes import ASK, BID, DUE, GIFT, PROOF_US, SUM, USE, decode, encode
 from harriertide.decide.state import Cell, Line, Node, Request, Store, Tally, Volume
 
 # Rounds and bids
@@ -34,16 +34,14 @@
 LEARN_UP, LEARN_DOWN = 0.5, 0.2  # weight of a pressured round's figure, quicker up than down
 GROW = 1.05  # a pressured shard that serves all it was given may do a little more
 # Admission
-TARGET = 1.05  # tokens over learned rate: slightly over, so that a rate learned too low can rise
+TARGET = 1.05  # let in over learned rate: slightly over, so that a rate learned too low can rise
 RELIEF = 0.5  # how much lower the target is for each aim that answers take beyond EASE_AIM
-THIN = 8  # offered requests a second below which a head thins by the chance of all heads together
-BANDS = 6  # classes of worth that tokens go to in turn
+BANDS = 6  # classes of worth that are let in in turn
 BAND_STEP = 2.2  # worth of a band over that of the next
-FORECAST_AFTER = 0.25  # part of a round after which its own offers count as a forecast
 SHARE_PART = 0.9  # of a shard's rate is dealt out by weight
 # Bound and queue
 BOUND_PART = 0.2  # part of the tightest aim that work out at a node may take
-NODE_FEW = 4  # requests of all heads that a pressured node may always hold, dealt out like tokens
+NODE_FEW = 4  # requests of all heads that a pressured node may always hold, dealt out like its rate
 FEW = 2  # requests that may always be out: less would leave a two-core node idle
 CEILING = 32  # requests out at a node, whatever was learned
 HOLD_PART = 0.3  # part of the aims that held work may need before the least worth is given up
@@ -57,7 +55,8 @@
 MARGIN_US = 50_000  # kept to the end of a repeat window
 ASK_FIRST_US, ASK_MOST_US = 300_000, 4_000_000  # backoff of calls to the node list, or for each head:
 CALL_FIRST_US, CALL_MOST_US, CALL_SPREAD_US = 40_000, 200_000, 25_000  # the last: for first calls
-EVEN, GIVEN = 0.2, 0.4  # of a cold node's safe units: dealt out evenly; held by each of two keepers
+FEW_PROVEN = 0.5  # mean requests that the safe units stand for among the answers of a cold node
+PROOF = 16  # large requests' worth of answers that tell what a cold node can do by now
 GIFT_US = 150_000  # life of a gift, from when it was asked for: two trips of a message and some
 NO_LIFE = frozenset({"timeout", "connect_failed", "reset"})
 NEVER_RAN = frozenset({"full", "connect_failed", "moot"})
@@ -104,14 +103,13 @@
             self._tallies.clear()
             self._uses.clear()
             for node in self._nodes.values():
-                for parts in (node.spent, node.given):
-                    parts.append((self._now, self._s.cold_units / self._s.cold_from))
+                node.given.append((self._now, self._bears(node)))
                 node.gift, node.asked_us = 0.0, 0
         self._s = settings
         self._alone = settings.heads == 1 or not settings.may_tell
-        # parts under a large request serve nobody: there the first keeper holds all
-        small = GIVEN * settings.cold_units < settings.most_units
-        self._even, self._given = (1.0, 0.0) if self._alone else (0.0, 1.0) if small else (EVEN, GIVEN)
+        # each keeper's part of what a cold node bears; under a large request it serves nobody: one has all
+        small = settings.cold_units < 2 * settings.most_units
+        self._part = 1.0 / settings.heads if self._alone else 1.0 if small else 0.5
         # deterministic subsetting: each turn of heads deals out all shards once, in an order of its own
         size = min(settings.shards, max(NEAR, ceil(LOOKS * settings.shards / settings.heads)))
         turn, place = divmod(settings.head, settings.shards // size)
@@ -254,7 +252,7 @@
             if self._now >= tally.learn_us:
                 tally.learn_us = self._now + ROUND_US
                 tally.strain += SMOOTH * (min(2.0, tally.sums[7] / max(0.01, tally.sums[6])) - tally.strain)
-                self._learn(tally)
+                self._learn(tally, self._cells.get(key))
             state = tally.learned + 2 * tally.pressed
             row = [*tally.sums[:6], tally.capacity, tally.sums[8], tally.strain, state]
             self._say(head, SUM, key, row)
@@ -282,8 +280,13 @@
         elif cell.strain < EASE_AIM:
             cell.pressed = False
 
-    def _learn(self, tally: Tally) -> None:
-        """A pressured shard does what is served there through all heads; it may rise."""
+    def _learn(self, tally: Tally, cell: Cell | None) -> None:
+        """A pressured shard does what is served there through all heads, a cold one what it bears."""
+        live = [node for node in cell.nodes.values() if node.live] if cell is not None else []
+        if live and all(self._cold(node) for node in live):
+            tally.capacity = sum(map(self._bears, live)) * SECOND / self._s.fall_us
+            tally.learned, tally.pressed = True, sum(tally.sums[:BANDS]) > tally.capacity
+            return
         total = tally.sums[6]
         tally.pressed = tally.strain > (EASE_AIM if tally.pressed else PRESS_AIM)
         if not tally.pressed:
@@ -298,7 +301,7 @@
                 tally.capacity *= GROW
 
     def _slice(self, cell: Cell) -> None:
-        """This head's tokens: demand-proportional, the bands worth most first."""
+        """This head's slice: demand-proportional, the bands worth most first."""
         # where a head offers less than a request a second, figures are rough and each sends one at least
         relief = RELIEF * (2 if sum(cell.totals) < self._s.heads * self._s.mean_units else 1)
         left = pool = (TARGET - relief * min(0.7, max(0.0, cell.strain_all - EASE_AIM))) * cell.capacity
@@ -314,7 +317,6 @@
                 cell.chance[band] = take / total if total > 0 else min(1.0, left)
                 cell.rate += cell.chance[band] * cell.demand[band]
             cell.rate += left * min(1.0, own / max(0.01, sum(cell.totals)))
-        cell.tokens = max(FEW * self._s.mean_units, cell.rate * ROUND_US / SECOND)
 
     # --- 3. Admission ------------------------------------------------------------------------
 
@@ -351,7 +353,6 @@
         if dark or broke or not self._pass(request, cell):
             self._give_up(request)
             return
-        cell.tokens -= event.units
         if request.line is None or request.line.members[0] is request:
             self._hold(request)
 
@@ -378,25 +379,9 @@
         value = request.kind.worth * plan.price * due / self._top
         request.band = min(BANDS - 1, int(-log(value) / log(BAND_STEP))) if value > 0 else BANDS - 1
 
-    def _few(self, cell: Cell) -> bool:
-        return sum(cell.demand) < THIN * self._s.mean_units
-
     def _pass(self, request: Request, cell: Cell) -> bool:
-        """Percent thinning: tokens left over units expected in the round's rest, by worth."""
-        if not cell.tight:
-            return True
-        if self._few(cell):
-            # tokens under one request let none or too many pass: the chance of all heads together
-            return self._random.random() < cell.chance[request.band]
-        gone = max(1, self._now - self._round_us)
-        rest = max(0, self._round_end - self._now) / SECOND
-        left = cell.tokens
-        for band in range(request.band + 1):
-            seen = cell.offer[band] / gone * SECOND if gone > FORECAST_AFTER * ROUND_US else 0.0
-            expected = max(cell.demand[band], seen) * rest
-            if band < request.band:
-                left -= expected
-        return self._random.random() * max(expected, request.arrival.units) < left
+        """Percent thinning: the part of what all heads are offered, by worth, that the shard can do."""
+        return not cell.tight or self._random.random() < cell.chance[request.band]
 
     # --- 4. Bound and queue ------------------------------------------------------------------
 
@@ -520,10 +505,11 @@
                 node.shard, node.zone, node.started_us = entry.shard, entry.zone, entry.started_us
                 node.fast, node.streak, node.silent = 1.0, 0, False
                 node.gift, node.asked_us = 0.0, 0
+                node.answered = node.proof = 0.0
+                node.answered_us = node.proof_us = 0
                 if self._now - self._started <= self._s.fall_us + GIFT_US:
-                    # a head that has restarted may have spent and given its parts just before
-                    node.spent.append((self._now, self._s.cold_units / self._s.cold_from))
-                    node.given.append((self._now, self._s.cold_units / self._s.cold_from))
+                    # a head that has restarted may have given its part just before
+                    node.given.append((self._now, self._bears(node)))
             cell = self._cells.setdefault(entry.shard, Cell(entry.shard, BANDS, self._now - BID_LIFE_US))
             cell.nodes[entry.node] = node
             node.live = entry.state == "live"
@@ -565,6 +551,9 @@
         if event.kind == "ok":
             self._overtake(node, sent_us)
             cell.served += request.arrival.units
+            if self._cold(node):
+                node.answered += request.arrival.units
+                node.answered_us += event.took_us
             cls, took_us = request.arrival.request_class, event.took_us
             usual = self._usual[cls] or float(max(1, took_us))
             # low running figure: one step down outweighs three up, so it rests near the lower quarter
@@ -651,10 +640,7 @@
         if request.sent and self._s.extra_floor is not None:
             self._extra.append(self._now)
         if self._cold(node):
-            if self._gifted(node, event.units):
-                node.gift -= event.units
-            else:
-                node.spent.append((self._now, event.units))
+            node.gift -= event.units
         request.out[request.sent] = (node, self._now)
         request.sent += 1
         node.out += 1
@@ -662,8 +648,9 @@
         node.flying[request] = 0
         if node.silent:
             node.trial_us = self._now + TRIAL_US
-        # a head with little to send steers no queue by its bound: what waits past its aim makes room
-        stop_us = request.due_us if self._few(self._cells[node.shard]) else event.give_up_us
+        # more heads than requests that a node may hold steer no queue by their bounds: there, what waits past
+        # its aim makes room
+        stop_us = request.due_us if self._s.heads > CEILING else event.give_up_us
         self._actions.append(api.Send(request.id, node.id, stop_us))
         return True
 
@@ -678,31 +665,31 @@
     def _cold(self, node: Node) -> bool:
         return node.started_us > 0 and self._now < node.started_us + self._s.cold_us
 
-    def _fits(self, node: Node, units: float, gift: bool) -> bool:
-        """Rule 4: whether a part of what a cold node bears in a window, at the window's start, has room."""
-        held = self._given if self._given < 1 or self._keepers(node.shard)[0] == self._s.head else 0.0
-        spent, part = (node.given, held) if gift else (node.spent, self._even / self._s.heads)
-        span_us = self._s.fall_us + (GIFT_US if gift else 0)
-        while spent and spent[0][0] <= self._now - span_us - self._s.tick_us:
-            spent.popleft()
-        age = max(0, self._now - span_us - node.started_us) / max(1, self._s.cold_us)
-        # the safe units are the start's; they rise with the slowest rise that a node may have
-        bears = self._s.cold_units * (1 + min(1.0, age) * (1 / self._s.cold_from - 1))
-        return sum(u for _, u in spent) + units <= bears * part
+    def _bears(self, node: Node) -> float:
+        """Rule 4: units that a cold node bears in a window by now, from all heads together.
+
+        The safe units are the start's, and rise with the slowest rise that a node may have. Answers prove
+        more: none is quicker than one core, so units answered over the time they took are at most what a core
+        does, and less with each that waits there. FEW_PROVEN requests at the safe rate weigh among them.
+        """
+        age = max(0, self._now - self._s.fall_us - GIFT_US - node.started_us) / max(1, self._s.cold_us)
+        safe = self._s.cold_units * (1 + min(1.0, age) * (1 / self._s.cold_from - 1))
+        most_us, few = self._s.fall_multiple * self._s.fall_us, FEW_PROVEN * self._s.mean_units
+        few_us = few * most_us / max(0.01, self._s.cold_units)
+        return max(safe, (node.proof + few) * most_us / max(1.0, node.proof_us + few_us))
 
     def _cold_room(self, node: Node, units: float) -> bool:
-        """Its own even part, or a gift of a keeper, who holds the rest and takes it off before it tells.
+        """A gift of a keeper, which takes it off its part of what the node bears before it tells.
 
         It ends GIFT_US after the ask, by the asker's clock: a window holds only its own and GIFT_US's before.
         """
-        if self._gifted(node, units) or self._fits(node, units, gift=False):
-            return True
-        if not self._alone and self._now >= node.asked_us + GIFT_US:
+        if not self._gifted(node, units) and self._now >= node.asked_us + GIFT_US:
             node.ask_no = (node.ask_no + 1) % 256
             node.asked_us = self._now
-            row = [float(node.start_ms), ceil(units), node.ask_no]
-            keeper = self._keepers(node.shard)[node.ask_no % 2 if self._given < 1 else 0]
-            self._say(keeper, ASK, node.shard, row)
+            proof = [min(255, int(node.answered)), min(255, ceil(node.answered_us / PROOF_US))]
+            node.answered, node.answered_us = 0.0, 0
+            keeper = self._keepers(node.shard)[node.ask_no % 2 if self._part < 1 else 0]
+            self._say(keeper, ASK, node.shard, [float(node.start_ms), ceil(units), node.ask_no, *proof])
         return self._gifted(node, units)  # a keeper's own ask is answered at once
 
     def _gifted(self, node: Node, units: float) -> bool:
@@ -710,14 +697,21 @@
 
     def _gift(self, head: int, kind: int, shard: int, figures: list[float]) -> None:
         """As keeper, give where the part has room; as asker, take what is still awaited."""
-        started, units, number = figures
+        started, units, number, answered, took = figures
         for node in self._cells[shard].nodes.values():
             if not (node.live and self._cold(node) and node.start_ms == started):
                 continue
-            if kind == ASK and self._fits(node, units, gift=True):
-                node.given.append((self._now, units))
-                self._say(head, GIFT, shard, figures)
-            elif kind == GIFT and node.ask_no == number and 0 < node.asked_us > self._now - GIFT_US:
+            if kind == ASK:
+                node.proof, node.proof_us = node.proof + answered, node.proof_us + int(took) * PROOF_US
+                if node.proof > PROOF * self._s.most_units:  # older answers count less: it gets warmer
+                    node.proof, node.proof_us = node.proof / 2, node.proof_us // 2
+                span_us = self._s.fall_us + GIFT_US + self._s.tick_us
+                while node.given and node.given[0][0] <= self._now - span_us:
+                    node.given.popleft()
+                if sum(gift for _, gift in node.given) + units <= self._bears(node) * self._part:
+                    node.given.append((self._now, units))
+                    self._say(head, GIFT, shard, figures)
+            elif node.ask_no == number and 0 < node.asked_us > self._now - GIFT_US:
                 node.gift, node.gift_end, node.asked_us = units, node.asked_us + GIFT_US, 0
                 self._touched[shard] = self._cells[shard]
 
--- a/harriertide/decide/settings.py
+++ b/harriertide/decide/settings.py
@@ -33,6 +33,7 @@
         cold_from=safety["coldFrom"],
         cold_us=safety["coldUs"],
         fall_us=safety["fallUs"],
+        fall_multiple=safety.get("fallMultiple") or 1.0,
         ask_for_list=raw["membershipMode"] == "ask",
         ask_within_us=safety.get("askWithinUs") or 10_000_000,
         may_tell=limits["peers"],
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -48,8 +48,11 @@
     silent: bool = False
     trial_us: int = 0
     flying: dict[Request, int] = field(default_factory=dict)  # out there: answers to what was sent later
-    spent: deque[tuple[int, float]] = field(default_factory=deque)
-    given: deque[tuple[int, float]] = field(default_factory=deque)  # as keeper, to other heads
+    given: deque[tuple[int, float]] = field(default_factory=deque)  # as keeper, to all heads
+    answered: float = 0.0  # units, while cold and since the last ask for a gift, and how long they took
+    answered_us: int = 0
+    proof: float = 0.0  # as keeper: the same of all heads together
+    proof_us: int = 0
     asked_us: int = 0  # for a gift; 0: none awaited
     ask_no: int = 0
     gift: float = 0.0
@@ -81,7 +84,6 @@
     bids: int = 0  # since the last answer of a keeper
     strain: float = 0.0
     rate: float = 0.0  # this head's slice, units a second
-    tokens: float = 0.0
     look_us: int = 0
     queue: list[tuple[int, int, Request]] = field(default_factory=list)
     load: float = 0.0  # held units, those with longer aims counting less
