--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -4,6 +4,7 @@
 
 Experiments:
   bench-library  what a request costs direct, through the library and through the daemon
+  limits         how much of a plan's limit heads use that lose messages and die
   parity         one workload through daemon and library; every decision compared
   second-copy    look for second copies on real sockets; see docs/measurements/second-copy.md
 """
@@ -15,7 +16,12 @@
 
 from harriertide.decide.settings import PlainError
 
-EXPERIMENTS = {"bench-library": "bench_library", "parity": "parity", "second-copy": "second_copy"}
+EXPERIMENTS = {
+    "bench-library": "bench_library",
+    "limits": "limits",
+    "parity": "parity",
+    "second-copy": "second_copy",
+}
 
 
 def main(given: dict[str, Any]) -> int:
--- a/harriertide/decide/api.py
+++ b/harriertide/decide/api.py
@@ -83,7 +83,6 @@
     max_retry_after_us: int = 0
     max_attempts: int = 1
     may_probe: bool = False
-    report_fields: tuple[str, ...] = ()  # what load reports hold, in their order
     tick_us: int = 1_000
     key_rest_us: int = 0
     extra_floor: float | None = None
@@ -170,11 +169,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Probed:
-    """How a probe of a node ended; its load report, if one came: a figure for each of report_fields."""
+    """How a probe of a node ended; ok: it lives."""
 
     node: str
     kind: OutcomeKind
-    report: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,7 +267,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask a node for its load report; one Probed follows."""
+    """Ask a node, beside all requests, whether it lives; one Probed follows."""
 
     node: str
 
--- a/harriertide/decide/settings.py
+++ b/harriertide/decide/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,41 +14,103 @@
 class PlainError(Exception):
     """What an operator has given can't be used; one plain line that names the key."""
 
+
+_NEEDED = object()  # no default: the key must be there
 _EFFECTS = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
 
 
+class Part:
+    """An object of the settings, read key by key; what is off is named by its whole path.
+
+    KeyError: a key is missing. ValueError: it holds something else than it should.
+    """
+
+    def __init__(self, raw: object, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise ValueError(f"{path}: must be an object")
+        self._raw, self.path = raw, path
+
+    def _get(self, name: str, default: object) -> object:
+        value = self._raw.get(name)
+        if value is None:
+            if default is _NEEDED:
+                raise KeyError(f"{self.path}.{name}")
+            return default
+        return value
+
+    def part(self, name: str) -> Part:
+        """A part of its own."""
+        return Part(self._get(name, _NEEDED), f"{self.path}.{name}")
+
+    def rows(self, name: str) -> list[Part]:
+        """A list of parts."""
+        value = self._get(name, _NEEDED)
+        if not isinstance(value, list):
+            raise ValueError(f"{self.path}.{name}: must be a list")
+        return [Part(row, f"{self.path}.{name}[{place}]") for place, row in enumerate(value)]
+
+    def number(self, name: str, default: object = _NEEDED, least: float = 0) -> float:
+        """A number of at least so much."""
+        value = self._get(name, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 1e18:
+            raise ValueError(f"{self.path}.{name}: must be a number of at least {least:g}")
+        return value
+
+    def whole(self, name: str, default: object = _NEEDED, least: int = 0) -> int:
+        """A whole number of at least so much."""
+        value = self.number(name, default, least)
+        if value != int(value):
+            raise ValueError(f"{self.path}.{name}: must be a whole number")
+        return int(value)
+
+    def flag(self, name: str, default: object = _NEEDED) -> bool:
+        """True or false."""
+        value = self._get(name, default)
+        if not isinstance(value, bool):
+            raise ValueError(f"{self.path}.{name}: must be true or false")
+        return value
+
+    def choice(self, name: str, known: Sequence[str], default: object = _NEEDED) -> str:
+        """One of these words."""
+        value = self._get(name, default)
+        if not isinstance(value, str) or value not in known:
+            raise ValueError(f"{self.path}.{name}: must be one of {', '.join(known)}")
+        return value
+
+
 def from_wire(raw: Fields) -> api.Settings:
     """The settings that the decision module is built with; KeyError or ValueError names what is off."""
-    limits, safety, domain = raw["limits"], raw["safety"], raw["domain"]
+    top = Part(raw, "settings")
+    limits, safety, domain = top.part("limits"), top.part("safety"), top.part("domain")
+    span_us = safety.whole("resendSpanUs", 0)
     return api.Settings(
-        head=raw["index"],
-        heads=raw["groupSize"],
-        classes=tuple(_request_class(entry) for entry in raw["classes"]),
-        plans=tuple(_plan(entry) for entry in raw["plans"]),
-        shards=domain["nShards"],
-        mean_units=domain["meanUnits"],
-        most_units=domain["maxUnits"],
-        share_worth=domain["withinShare"],
-        spare_worth=domain["beyondShare"],
-        cold_units=domain["youngLimit"],
-        cold_from=safety["coldFrom"],
-        cold_us=safety["coldUs"],
-        fall_us=safety["fallUs"],
-        fall_multiple=safety.get("fallMultiple") or 1.0,
-        ask_for_list=raw["membershipMode"] == "ask",
-        ask_within_us=safety.get("askWithinUs") or 10_000_000,
-        may_tell=limits["peers"],
-        may_say_when=limits["retryAfter"],
-        may_cancel=bool(limits.get("cancel")),
-        max_retry_after_us=limits["maxRetryAfterUs"],
-        max_attempts=limits["tryLimit"],
-        may_probe=bool(limits.get("probes")),
-        report_fields=tuple((raw.get("feedback") or {}).get("fields") or ()),
-        tick_us=raw["roundUs"],
-        key_rest_us=safety.get("keyQuietUs") or 0,
-        extra_floor=safety.get("extraFloor") or 0 if safety.get("resendSpanUs") else None,
-        extra_share=safety.get("resendRatio") or 0,
-        extra_span_us=safety.get("resendSpanUs") or 0,
+        head=top.whole("index"),
+        heads=top.whole("groupSize", least=1),
+        classes=tuple(map(_request_class, top.rows("classes"))),
+        plans=tuple(map(_plan, top.rows("plans"))),
+        shards=domain.whole("nShards", least=1),
+        mean_units=domain.number("meanUnits"),
+        most_units=domain.number("maxUnits"),
+        share_worth=domain.number("withinShare"),
+        spare_worth=domain.number("beyondShare"),
+        cold_units=domain.number("youngLimit"),
+        cold_from=safety.number("coldFrom"),
+        cold_us=safety.whole("coldUs"),
+        fall_us=safety.whole("fallUs"),
+        fall_multiple=safety.number("fallMultiple", 1.0, least=1),
+        ask_for_list=top.choice("membershipMode", ("push", "ask")) == "ask",
+        ask_within_us=safety.whole("askWithinUs", 0) or 10_000_000,
+        may_tell=limits.flag("peers"),
+        may_say_when=limits.flag("retryAfter"),
+        may_cancel=limits.flag("cancel", False),
+        max_retry_after_us=limits.whole("maxRetryAfterUs"),
+        max_attempts=limits.whole("tryLimit", least=1),
+        may_probe=limits.flag("probes", False),
+        tick_us=top.whole("roundUs", least=1),
+        key_rest_us=safety.whole("keyQuietUs", 0),
+        extra_floor=safety.number("extraFloor", 0) if span_us else None,
+        extra_share=safety.number("resendRatio", 0),
+        extra_span_us=span_us,
     )
 
 
@@ -65,26 +128,27 @@
     return placed
 
 
-def _request_class(raw: Fields) -> api.RequestClass:
+def _request_class(row: Part) -> api.RequestClass:
+    group = row.choice("dedupScope", ("all", "zone", "cell"), "all")
     return api.RequestClass(
-        aim_us=raw["sloUs"],
-        deadline_us=raw["deadlineUs"],
-        worth=raw["worth"],
-        late_worth=raw.get("lateWorth") or 0,
-        effect=_EFFECTS[raw["effect"]],  # type: ignore[arg-type]
-        group=raw.get("dedupScope") or "all",
-        window_us=raw.get("windowUs") or 0,
-        in_order=bool(raw.get("inOrder")),
+        aim_us=row.whole("sloUs", least=1),
+        deadline_us=row.whole("deadlineUs", least=1),
+        worth=row.number("worth"),
+        late_worth=row.number("lateWorth", 0),
+        effect=_EFFECTS[row.choice("effect", tuple(_EFFECTS))],  # type: ignore[arg-type]
+        group=group,  # type: ignore[arg-type]
+        window_us=row.whole("windowUs", 0),
+        in_order=row.flag("inOrder", False),
     )
 
 
-def _plan(raw: Fields) -> api.Plan:
+def _plan(row: Part) -> api.Plan:
     return api.Plan(
-        reserve=raw["guaranteed"],
-        weight=raw["weight"],
-        price=raw["valueFactor"],
-        limit=raw["ceilingRate"],
-        limit_burst=raw["mostAtOnce"],
+        reserve=row.number("guaranteed"),
+        weight=row.number("weight"),
+        price=row.number("valueFactor"),
+        limit=row.number("ceilingRate"),
+        limit_burst=row.number("mostAtOnce"),
     )
 
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import copy
+import json
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from harriertide.cli.daemon import BadConfigError, read_config
+from harriertide.decide.settings import from_wire
 from tests.test_net import OK, WIRE, play
 
 PUSHED: dict[str, Any] = {**WIRE, "membershipMode": "push"}
@@ -219,3 +223,99 @@
         c expect 200
         d expect probes=0"""
     asyncio.run(play(script, objects=False, folder=tmp_path, wire=PUSHED))
+
+
+KEYED: dict[str, Any] = {
+    **PUSHED,
+    "classes": [
+        {**WIRE["classes"][0], "effect": "deduplicated", "dedupScope": "cell", "windowUs": 400_000}
+    ],
+}
+WRITES = {
+    "cut off within the window: again, to the same rack and with the same key": f"""
+        {WATCHED}
+        c send PUT /api @0 Idempotency-Key=k body=x
+        b1 expect PUT /api Idempotency-Key=k
+        b1 close
+        b1 expect PUT /api Idempotency-Key=k X-Call-Id=id1
+        {OK}
+        c expect 200
+        b2 expect nothing""",
+    "cut off after the window: not again, and no word that trying again is harmless": f"""
+        {WATCHED}
+        c send PUT /api @0 Idempotency-Key=k body=x
+        b1 expect PUT /api
+        wait 0.5
+        b1 close
+        c expect 502
+        b1 expect nothing
+        b2 expect nothing""",
+    "never begun: the box that turned it away may be asked again at any time": f"""
+        {WATCHED}
+        c send PUT /api @0 Idempotency-Key=k body=x
+        b1 expect PUT /api
+        wait 0.5
+        b1 send 503 X-Rejected=1
+        b1 expect PUT /api
+        {OK}
+        c expect 200""",
+    "a new object whose first attempt may have run goes to no other rack": f"""
+        {WATCHED}
+        s send list b2=draining
+        wait 0.05
+        c send PUT /api @-1 Idempotency-Key=k body=x
+        b1 expect PUT /api
+        s send list b2=up
+        wait 0.05
+        b1 close
+        b1 expect PUT /api Idempotency-Key=k
+        s send list b1=draining
+        wait 0.05
+        b1 close
+        c expect 502
+        b2 expect nothing""",
+}
+
+
+@pytest.mark.parametrize("script", WRITES.values(), ids=WRITES.keys())
+def test_keyed_writes_never_count_twice(script: str, tmp_path: Path) -> None:
+    asyncio.run(play(script.lstrip(), objects=False, folder=tmp_path, wire=KEYED))
+
+
+MISSING = object()
+BAD: list[tuple[str, Any]] = [
+    ("membershipMode", "pull"), ("membershipMode", MISSING), ("limits", MISSING), ("limits", 7),
+    ("limits.tryLimit", MISSING), ("limits.tryLimit", 0), ("limits.peers", 1), ("limits.probes", "yes"),
+    ("limits.maxRetryAfterUs", "soon"), ("safety", []), ("safety.fallUs", 1.5), ("safety.coldUs", -1),
+    ("safety.fallMultiple", 0.5), ("domain.youngLimit", True), ("domain.nShards", 0), ("classes", {}),
+    ("classes.0", "x"), ("classes.0.effect", "odd"), ("classes.0.dedupScope", "row"), ("plans", MISSING),
+    ("plans.0.ceilingRate", None), ("plans.0.weight", "1"), ("roundUs", 0), ("groupSize", MISSING),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("path", "value"), BAD)
+def test_settings_that_cannot_be_used_are_one_plain_line_that_names_the_key(
+    path: str, value: Any, tmp_path: Path
+) -> None:
+    settings = copy.deepcopy(WIRE)
+    *way, last = [int(step) if step.isdigit() else step for step in path.split(".")]
+    at: Any = settings
+    for step in way:
+        at = at[step]
+    if value is MISSING:
+        del at[last]
+    else:
+        at[last] = value
+    where = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings}
+    (tmp_path / "config").write_text(json.dumps(where))
+    with pytest.raises(BadConfigError) as said:
+        read_config({"LB_CONFIG": str(tmp_path / "config")})
+    named = path.replace(".0", "[0]")
+    assert f"settings.{named}" in str(said.value) and "\n" not in str(said.value)
+
+
+def test_keys_that_are_unknown_or_optional_and_null_change_nothing() -> None:
+    more = copy.deepcopy(WIRE)
+    more["classes"][0]["novel"] = more["safety"]["novel"] = {"x": 1}
+    more["limits"]["probes"] = more["safety"]["keyQuietUs"] = None
+    assert from_wire(more) == from_wire(WIRE)
