Let the stand-in box take 12 MiB, and tell a client of a refusal for good

Cause: the box (cli/box.py) read bodies in one go, which aiohttp bounds at 1 MiB, and answered 413; the object front took any status but 2xx for an error to be tried again. `make demo` while its port is taken is one plain line that names it, before a box is started. The demo's lines move 12 MiB up and down; a test runs them, and a multipart upload of 12 MiB in pieces of 5, byte for byte.

--- a/harriertide/cli/box.py
+++ b/harriertide/cli/box.py
@@ -65,13 +65,17 @@
         return await call(request, name) if call else web.Response(status=405)
 
     async def _put(self, request: web.BaseRequest, name: str) -> web.StreamResponse:
-        size = request.content_length or 0
-        if self.held + size > self.most:
+        if self.held + (request.content_length or 0) > self.most:
             return _rejected()
-        data = await request.read()
+        # in pieces: guards against the library's own bound on a body that is read in one go
+        data = bytearray()
+        async for piece in request.content.iter_any():
+            data += piece
+            if self.held + len(data) > self.most:
+                return _rejected()
         await self._delete(request, name)
         self.held += len(data)
-        self.blobs[name] = data, f'"{xxh3_64_hexdigest(data)}"'
+        self.blobs[name] = bytes(data), f'"{xxh3_64_hexdigest(data)}"'
         return web.Response(status=200, headers={"ETag": self.blobs[name][1]})
 
     async def _get(self, request: web.BaseRequest, name: str) -> web.StreamResponse:
--- a/harriertide/cli/demo.py
+++ b/harriertide/cli/demo.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -95,7 +96,18 @@
     return 0
 
 
+def _free(port: int) -> None:
+    """PlainError where the port is taken, before anything is started."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError as fault:
+            raise PlainError(f"--port: 127.0.0.1:{port} can't be had: {fault.strerror}") from None
+
+
 def _play(stack: ExitStack, folder: Path, port: int, count: int) -> None:
+    _free(port)
     rows = ""
     for place in range(count):
         at = _word(_start(stack, "box").stdout, "box on ")
@@ -109,7 +121,11 @@
     print(f"object front on {at}\nadmin       on {admin}\nfile        {file}\n\ntry:")
     print(f"  curl -X PUT --data-binary 'hold the front page' http://{at}/photos/story")
     print(f"  curl http://{at}/photos/story")
-    print(f"  curl -H 'Range: bytes=9-13' http://{at}/photos/story\n\nCtrl-C ends it.", flush=True)
+    print(f"  curl -H 'Range: bytes=9-13' http://{at}/photos/story")
+    big = folder / "big"
+    print(f"  head -c 12582912 /dev/urandom >{big}")
+    print(f"  curl -T {big} http://{at}/photos/big")
+    print(f"  curl -s http://{at}/photos/big | cmp - {big} && echo the same\n\nCtrl-C ends it.", flush=True)
     assert daemon.stderr is not None
     for line in daemon.stderr:
         print(line, end="", file=sys.stderr, flush=True)
--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -11,10 +11,13 @@
 
 from harriertide.core import events as ev
 from harriertide.decide import api
+from harriertide.engine.log import log
 from harriertide.engine.runtime import Attempt, Ending
 from harriertide.http.nodes import BODY_BYTES, Body, BrokenError, Incoming, NodeClient, outcome
 
 CHUNK_BYTES = 64 * 1024
+LATER = frozenset((408, 425, 429))  # statuses of 4xx by which HTTP itself says to come again
+SAID_BYTES = 200  # of a box's refusal, for the log
 
 
 class BodyError(Exception):
@@ -114,6 +117,7 @@
     def __init__(self, client: NodeClient, call: str, bucket: str, blob: str) -> None:
         self._client, self._call = client, call
         self._target = f"/{bucket}/{blob}"
+        self.denied = False  # a box has refused for good: asking again would not help
         self.final: asyncio.Future[ev.Answer] = asyncio.get_running_loop().create_future()
 
     def answer(self, answer: ev.Answer) -> None:
@@ -125,6 +129,16 @@
         """Perform one attempt; how it ended."""
         raise NotImplementedError
 
+    async def ended(self, attempt: Attempt, response: Incoming) -> api.OutcomeKind:
+        """What a box's answer means; one of 4xx is no reason for a client to come again."""
+        said = await response.read()
+        if 400 <= response.status < 500 and response.status not in LATER:
+            self.denied = True
+            answer = said[:SAID_BYTES].decode("utf-8", "replace")
+            log("a box refused for good", box=attempt.node, status=response.status, answer=answer)
+            return "moot"
+        return outcome(response)
+
     def headers(self, attempt: Attempt) -> dict[str, str]:
         """How long the broker waits, and the call's id, as towards disk nodes."""
         wait_ms = max(1, (attempt.stop_at_us - attempt.runtime.clock.now_us()) // 1000)
@@ -155,8 +169,7 @@
         headers = {**self.headers(attempt), "Content-Length": str(source.size)}
         try:
             async with self._client.open(attempt, "PUT", self._target, headers, source.body()) as response:
-                await response.read()
-                kind = outcome(response)
+                kind = await self.ended(attempt, response)
                 if kind == "ok":
                     self.box, self.tag = attempt.node, response.headers.get("ETag", "")
                 return kind, None
@@ -194,10 +207,8 @@
                 if response.status in (404, 412, 416):
                     self.missing = True  # asking again would not bring it back
                     return "moot", None
-                kind = outcome(response)
-                if kind != "ok":
-                    await response.read()
-                    return kind, None
+                if outcome(response) != "ok":
+                    return await self.ended(attempt, response), None
                 if not self._fits(response):
                     return "error", None
                 async for chunk in response.content.iter_chunked(CHUNK_BYTES):
@@ -229,8 +240,8 @@
     async def attempt(self, attempt: Attempt) -> Ending:
         try:
             async with self._client.open(attempt, "DELETE", self._target, self.headers(attempt)) as response:
-                await response.read()
-                kind: api.OutcomeKind = "ok" if response.status == 404 else outcome(response)
-                return kind, None
+                if response.status == 404:
+                    return "ok", None
+                return await self.ended(attempt, response), None
         except BrokenError as end:
             return end.kind, None
--- a/harriertide/objects/store.py
+++ b/harriertide/objects/store.py
@@ -169,7 +169,7 @@
                 self.drop(blob, give_up_us)
         if source.broken:
             raise S3Error("IncompleteBody", "The body is shorter than Content-Length says")
-        self._must(answer)
+        self._must(job, answer)
         shard = self._runtime.core.nodes().get(job.box)
         if shard is None:  # taken off the list in this very turn: its data is out of reach
             self.drop(blob, give_up_us)
@@ -195,10 +195,12 @@
         answer = await self._call(arrival, job)
         if job.missing:
             raise S3Error("InternalError", "The box does not have the data")
-        self._must(answer)
+        self._must(job, answer)
 
     @staticmethod
-    def _must(answer: ev.Answer) -> None:
+    def _must(job: ObjectJob, answer: ev.Answer) -> None:
+        if job.denied and answer.kind != "served":
+            raise S3Error("InternalError", "A box refused the request for good")
         if answer.kind == "refused":
             raise slow_down(answer.retry_after_us)
         if answer.kind == "failed":
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,8 +5,10 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
+from http.client import HTTPConnection
 from pathlib import Path
 
 import pytest
@@ -60,9 +62,12 @@
             line = demo.stdout.readline()
             assert line, demo.communicate(timeout=10)
             said += line
-        calls = re.findall(r"^  (curl .*)$", said, re.MULTILINE)
+        calls = re.findall(r"^  (.*)$", said.partition("try:")[2], re.MULTILINE)
         done = [subprocess.run(["/bin/sh", "-c", call], capture_output=True, text=True) for call in calls]
-        assert [end.stdout for end in done] == ["", "hold the front page", "front"]
+        assert [end.stdout for end in done] == ["", "hold the front page", "front", "", "", "the same\n"]
+        front = re.search(r"object front on (\S+)", said)
+        assert front
+        multipart(front[1], os.urandom(12 << 20))
     finally:
         demo.send_signal(signal.SIGINT)
         out, err = demo.communicate(timeout=20)
@@ -70,6 +75,43 @@
     assert "event=counters" not in err or "objects.answers_200" in err
 
 
+def multipart(at: str, data: bytes) -> None:
+    """Up in pieces of 5 MiB, as S3's clients do, and down in one, byte for byte."""
+    host, port = at.split(":")
+    line = HTTPConnection(host, int(port), timeout=20)
+
+    def ask(method: str, target: str, body: bytes = b"") -> tuple[str | None, bytes]:
+        line.request(method, target, body)
+        answer = line.getresponse()
+        said = answer.read()
+        assert answer.status == 200, (answer.status, said[:200])
+        return answer.getheader("ETag"), said
+
+    upload = re.search(rb"<UploadId>(.*)</UploadId>", ask("POST", "/photos/parts?uploads")[1])
+    assert upload
+    query = f"uploadId={upload[1].decode()}"
+    rows = ""
+    for number, first in enumerate(range(0, len(data), 5 << 20), start=1):
+        tag, _ = ask("PUT", f"/photos/parts?partNumber={number}&{query}", data[first : first + (5 << 20)])
+        rows += f"<Part><PartNumber>{number}</PartNumber><ETag>{tag}</ETag></Part>"
+    whole = f"<CompleteMultipartUpload>{rows}</CompleteMultipartUpload>"
+    ask("POST", f"/photos/parts?{query}", whole.encode())
+    assert ask("GET", "/photos/parts")[1] == data
+
+
+def test_the_demo_says_in_one_line_that_its_port_is_taken() -> None:
+    with socket.socket() as other:
+        other.bind(("127.0.0.1", 0))
+        other.listen()
+        port = other.getsockname()[1]
+        end = subprocess.run(
+            [sys.executable, "-m", "harriertide", "demo", "--port", str(port)],
+            cwd=ROOT, capture_output=True, text=True, timeout=20,
+        )  # fmt: skip
+    assert end.returncode == 2 and not end.stdout
+    assert end.stderr.count("\n") == 1 and f"--port: 127.0.0.1:{port}" in end.stderr
+
+
 def test_a_box_turns_away_what_it_has_no_room_for() -> None:
     box = start("box", "--most-mb", "1")
     try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -386,6 +386,23 @@
         c expect 200 ETag="781e5e245d69b566979b86e28d23f2c7"
 """.replace('ETag="781e5e245d69b566979b86e28d23f2c7"', "'ETag=\"781e5e245d69b566979b86e28d23f2c7\"'")
 OBJECTS = {
+    "a box's refusal for good is no word to come again, and asked once": """
+        c send PUT /v/a body=0123456789
+        b1 expect PUT /v/*
+        b1 send 413 'body=too much'
+        c expect 500 body=*InternalError*
+        b1 expect nothing
+        b2 expect nothing
+        c send PUT /v/a body=0123456789
+        b1 expect PUT /v/*
+        b1 send 429
+        b1 expect PUT /v/*
+        b1 send 200 ETag=t1
+        c expect 200
+        c send GET /v/a
+        b1 expect GET /v/*
+        b1 send 403
+        c expect 500 body=*InternalError*""",
     "an object is written and read, whole and by range": f"""{PUT}
         c send GET /v/a
         b1 expect GET /v/* Range=bytes=0-9 If-Match=t1
