Play thirty silent seconds of an agent that pushes lists, and its late drain

The watch on the virtual network, with aiohttp's client: no news for 30 s of silence, at most 31 watches, and the drain told within 1.2 s of the agent's return.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -5,13 +5,19 @@
 import asyncio
 import copy
 import json
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from harriertide.cli.daemon import BadConfigError, read_config
+from harriertide.core import events as ev
+from harriertide.decide import api
 from harriertide.decide.settings import from_wire
+from harriertide.engine.clock import until
+from harriertide.lab import virtual
+from harriertide.platform.discovery import Directory, Watch
 from tests.test_net import OK, WIRE, play
 
 PUSHED: dict[str, Any] = {**WIRE, "membershipMode": "push"}
@@ -319,3 +325,70 @@
     more["classes"][0]["novel"] = more["safety"]["novel"] = {"x": 1}
     more["limits"]["probes"] = more["safety"]["keyQuietUs"] = None
     assert from_wire(more) == from_wire(WIRE)
+
+
+class Agent:
+    """Pushes lists to whoever watches; while it is silent it takes connections and says nothing on any."""
+
+    def __init__(self) -> None:
+        self.silent, self.watches, self.lines = False, 0, ['{"seq":8,"whole":false,"hosts":[]}']
+        self.open: list[asyncio.StreamWriter] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.watches += 1
+            if not self.silent:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.push(writer, *self.lines)
+                self.open.append(writer)
+            await reader.read()  # until the watcher goes
+        writer.close()
+
+    def push(self, writer: asyncio.StreamWriter, *lines: str) -> None:
+        for line in lines:
+            writer.write(f"{len(line) + 1:x}\r\n{line}\n\r\n".encode())
+
+    async def beat(self) -> None:
+        """An empty line every 2 s while it is not silent."""
+        while True:
+            await until(asyncio.get_running_loop().time() + 2.0)
+            for writer in self.open if not self.silent else ():
+                self.push(writer, "")
+
+
+async def thirty_silent_seconds() -> None:
+    loop, agent = asyncio.get_running_loop(), Agent()
+    server = await asyncio.start_server(agent.serve, "127.0.0.1", 0)
+    beat = asyncio.ensure_future(agent.beat())
+    told: list[tuple[float, api.NodeList]] = []
+
+    def post(event: ev.Event) -> None:
+        assert isinstance(event, ev.Listed)
+        if event.news.nodes:
+            told.append((loop.time(), event.news))
+
+    directory = Directory({})
+    hosts = [{"host": n, "dial": "127.0.0.1:1", "block": 0, "health": "up"} for n in ("b1", "b2")]
+    directory.read({"seq": 7, "whole": True, "hosts": hosts}, "held")
+    address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+    watch = Watch(address, directory, post, pushed=True)
+    watch.open()
+    await until(loop.time() + 10.0)
+    assert agent.watches == 1 and not told
+    agent.silent = True
+    await until(loop.time() + 30.0)
+    assert directory.known() == 2 and not told  # silence is no news
+    assert 10 <= agent.watches <= 31
+    agent.silent, agent.lines = False, [json.dumps({"seq": 9, "whole": False, "hosts": [
+        {**hosts[0], "health": "draining"}]})]  # fmt: skip
+    back = loop.time()
+    await until(back + 5.0)
+    assert [news.nodes[0].state for _, news in told] == ["draining"] and told[0][0] <= back + 1.2
+    await watch.close()
+    beat.cancel()
+    server.close()
+
+
+def test_an_agent_that_is_silent_for_thirty_seconds_and_comes_back_with_a_late_drain() -> None:
+    virtual.run(thirty_silent_seconds())
