Answer a head that was cut off for long at once, and begin numbers of calls anywhere

Read once more: an ask's number says whether it came late, modulo 256; after 128 asks that went nowhere (6 s of a cut) those of a head were taken for late ones for as long again. After BACK_US a number tells nothing any more, and nothing comes back either. And a vote that a broker slept on might have met a call of the same number of a head that had restarted meanwhile: numbers now begin where its epoch says.

--- a/harriertide/decide/leases.py
+++ b/harriertide/decide/leases.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import ceil
 
 from harriertide.decide import api
@@ -111,7 +111,9 @@
         # of four heads three: a fourth would only have to be asked for its vote as well
         self._size = min(GROUP, heads - 1 + heads % 2)
         abstains_us = now_us + self._lease_us if self._size > 1 else now_us
-        self._slots = {(head - rank) % heads: Slot(until_us=abstains_us) for rank in range(self._size)}
+        # numbers begin anywhere: guards against votes for calls of this head before it restarted
+        first = Slot(until_us=abstains_us, number=epoch % 256)
+        self._slots = {(head - rank) % heads: replace(first, calls={}) for rank in range(self._size)}
         self._funds: dict[int, Fund] = {}  # by volume, the one longest unheard of first
 
     def group(self, slot: int) -> list[int]:
@@ -232,11 +234,10 @@
         self._funds[key] = fund
         fund.heard_us = now_us
         last = fund.asks.get(head)
-        if last is not None and last[0] == epoch:
+        if last is not None and last[0] == epoch and now_us <= last[4] + BACK_US:
             if not 0 < (number - last[1]) % NUMBERS < NUMBERS // 2:
-                return None  # it came twice, or late
-            if now_us <= last[4] + BACK_US:
-                fund.units += max(0, last[2] - (used - last[3]) % COUNTS)
+                return None  # it came twice, or late; after BACK_US any may be new, as many went elsewhere
+            fund.units += max(0, last[2] - (used - last[3]) % COUNTS)
             del fund.asks[head]
         # Invariant: store and what may come back hold no more than a store that is filled up to its most and
         # takes each unit as it is sent. Guards against filling in place of what comes back later.
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,7 +9,17 @@
 import pytest
 
 from harriertide.decide import api
-from harriertide.decide.leases import BACK_US, CALL_US, COUNTS, LEASE_CALLS, LIFE_US, NUMBERS, Credit, Leases
+from harriertide.decide.leases import (
+    AGAIN_US,
+    BACK_US,
+    CALL_US,
+    COUNTS,
+    LEASE_CALLS,
+    LIFE_US,
+    NUMBERS,
+    Credit,
+    Leases,
+)
 from harriertide.decide.notes import CALL, GRANT, VOTE, WANT, decode
 from harriertide.lab.limits import COURSES, PLANS, Fleet, allowed, course
 from tests.helpers import Head, refusals, sends, tells
@@ -114,6 +124,7 @@
     for head in (1, 2):
         one.vote(LEASE_US, head, 0, rows[0][2] + 1)
     assert not one.holds(0, LEASE_US) and not Leases(6, 8, 0, 0).call(LEASE_US, 1, 0)
+    assert Leases(0, 8, 0, 77)._slots[0].number == 77
     one.vote(LEASE_US, 1, 0, rows[0][2])
     one.vote(LEASE_US, 1, 0, rows[0][2])
     assert not one.holds(0, LEASE_US)
@@ -167,6 +178,19 @@
     assert wrapped == 5 and one.give(now + SECOND, 1, 0, (9, 1, 7, 0), 10.0, 16.0) == 7  # 3 sent, 2 back
 
 
+def test_a_head_that_was_cut_off_for_long_is_answered_at_once() -> None:
+    """Its asks went nowhere, and their numbers may be anything by now."""
+    assert BACK_US / AGAIN_US < NUMBERS / 2  # while an ask may be late, its number tells
+    one = keeper()
+    one._slots[0].end_us = 40 * SECOND
+    assert one.give(4 * SECOND, 1, 0, (2, 0, 5, 10), 10.0, 16.0) == 2
+    for number in (10, 9, 200):
+        assert one.give(5 * SECOND, 1, 0, (2, 2, 5, number), 10.0, 16.0) is None
+    for turn, number in enumerate((200, 10, 10)):
+        now = 4 * SECOND + (turn + 1) * (BACK_US + 1)
+        assert one.give(now, 1, 0, (2, 2 + 2 * turn, 5, number), 10.0, 16.0) == 2
+
+
 def test_only_the_holder_gives_and_a_lease_lost_meanwhile_starts_the_store_empty() -> None:
     one = keeper()
     one._slots[0].end_us = 5 * SECOND
