--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -142,8 +142,7 @@
         self.probes = Probes(self.client, self.runtime.post)
         self.runtime.probe = self.probes.start
         if config is not None:
-            pushed = not config.settings.ask_for_list
-            self.watch = Watch(config.discovery, self.directory, self.runtime.post, pushed)
+            self.watch = Watch(config.discovery, self.directory, self.runtime.post)
             self.peers = Peers(config.peers, config.settings.head, self.runtime.post)
             self.runtime.watch, self.runtime.tell = self.watch.open, self.peers.tell
             self.runtime.post(ev.Listed(self.directory.read(known, "held")))
@@ -186,6 +185,7 @@
             self.objects.replan(names.plans)
         if fresh.discovery != self.watch.address:
             self.watch.move(fresh.discovery)
+        self.watch.follow(not fresh.settings.ask_for_list)
         if (fresh.listen, fresh.peer_listen) != (held.listen, held.peer_listen):
             log("listen and peer_listen take effect at the next start")
         log("reloaded, the configuration file is in force")
@@ -209,8 +209,8 @@
             if config.peer_listen is not None and self.peers is not None:
                 peers = self.peers
                 await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
-            if self.watch is not None and not config.settings.ask_for_list:
-                self.watch.open()  # nobody asks for a list that is pushed
+            if self.watch is not None:
+                self.watch.follow(not config.settings.ask_for_list)
             await self._listen(config.listen, PlatformServer(self.front, self.room))
         if self.objects is not None:
             for at, web_server in self.objects.servers(self.room):
--- a/harriertide/decide/leases.py
+++ b/harriertide/decide/leases.py
@@ -20,8 +20,8 @@
 from harriertide.decide.notes import CALL, GRANT, VOTE, WANT
 
 GROUP = 5  # heads that settle a slot, an odd number: as many messages in fleets of any size
-CALL_US = 60_000  # between a keeper's calls for votes
-LEASE_CALLS = 10  # a promise outlasts so many: with 30% lost and one of five dead, all fail once in 1,000
+CALL_US = 45_000  # between a keeper's calls for votes
+LEASE_CALLS = 14  # a promise outlasts so many: with 30% lost and one of three dead, all fail once in 10,000
 DRIFT = 0.01  # part of a lease by which clocks may differ in how fast they run
 LIFE_US = 150_000  # of units given out, from when they were asked for: two trips of a message and some
 BACK_US = 4_000_000  # after which units that were not sent come back no more
@@ -105,14 +105,15 @@
 class Leases:
     """The slots of whose groups a head is, and the stores that it keeps."""
 
-    def __init__(self, head: int, heads: int, now_us: int, epoch: int) -> None:
-        self.head, self.heads, self.epoch = head, heads, epoch
+    def __init__(self, head: int, heads: int, now_us: int) -> None:
+        self.head, self.heads = head, heads
+        self.epoch = now_us // 1000 % COUNTS  # no two starts within a minute are in one millisecond
         self._lease_us = LEASE_CALLS * CALL_US
         # of four heads three: a fourth would only have to be asked for its vote as well
         self._size = min(GROUP, heads - 1 + heads % 2)
         abstains_us = now_us + self._lease_us if self._size > 1 else now_us
         # numbers begin anywhere: guards against votes for calls of this head before it restarted
-        first = Slot(until_us=abstains_us, number=epoch % 256)
+        first = Slot(until_us=abstains_us, number=self.epoch % 256)
         self._slots = {(head - rank) % heads: replace(first, calls={}) for rank in range(self._size)}
         self._funds: dict[int, Fund] = {}  # by volume, the one longest unheard of first
 
@@ -230,7 +231,8 @@
         since_us = self._slots[slot].since_us
         fund = self._funds.pop(key, None)
         if fund is None or fund.since_us != since_us:
-            fund = Fund(since_us, 0.0, since_us)  # what another keeper gave just before is not known
+            # What another keeper gave just before is not known: until it is sent or void, nothing fills up.
+            fund = Fund(since_us, 0.0, since_us + LIFE_US)
         self._funds[key] = fund
         fund.heard_us = now_us
         last = fund.asks.get(head)
@@ -242,8 +244,8 @@
         # Invariant: store and what may come back hold no more than a store that is filled up to its most and
         # takes each unit as it is sent. Guards against filling in place of what comes back later.
         out = sum(ask[2] for ask in fund.asks.values() if now_us <= ask[4] + BACK_US)
-        fund.units = min(most - out, fund.units + rate * (now_us - fund.at_us) / 1_000_000)
-        fund.at_us = now_us
+        fund.units = min(most - out, fund.units + rate * max(0, now_us - fund.at_us) / 1_000_000)
+        fund.at_us = max(now_us, fund.at_us)
         given = max(0, min(wanted, int(fund.units)))
         fund.asks[head] = (epoch, number, given, used, now_us)
         fund.units -= given
--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -15,7 +15,7 @@
 from zlib import crc32
 
 from harriertide.decide import api
-from harriertide.decide.leases import CALL_US, LIFE_US, Leases
+from harriertide.decide.leases import CALL_US, LIFE_US, Credit, Leases
 from harriertide.decide.notes import ASK, BID, CALL, GIFT, GRANT, PROOF_US, SUM, decode, encode
 from harriertide.decide.state import Cell, Line, Node, Request, Store, Tally, Volume
 
@@ -44,7 +44,7 @@
 NODE_FEW = 4  # requests of all heads that a pressured node may always hold, dealt out like its rate
 FEW = 2  # requests that may always be out: less would leave a two-core node idle
 CEILING = 32  # requests out at a node, whatever was learned
-HALF = 0.5  # part of an aim by which a request's limit lets it go: what waits longer comes late
+LIMIT_PART = 0.5  # part of an aim by which a request's limit lets it go: what waits longer comes late
 HOLD_PART = 0.3  # part of the aims that held work may need before the least worth is given up
 LOOK_US = 10_000  # how often held work is looked at, and only where some is held
 LOOKS, NEAR = 4, 8  # even parts of the nodes that a head looks at for a new object; shards it looks among
@@ -98,6 +98,8 @@
         if FLEET(settings) != FLEET(self._s):
             # Heads may be others now, with other keepers. What these gave of cold nodes counts as all of it.
             self._leases = None
+            for volume in self._volumes.values():  # nor is it known what they sent of its limit
+                volume.limit, volume.credit = Store(0.0, self._now), Credit()
             self._tallies.clear()
             for node in self._nodes.values():
                 node.given.append((self._now, self._bears(node)))
@@ -106,8 +108,8 @@
         self._alone = settings.heads == 1 or not settings.may_tell
         if self._alone or not any(plan.limit > 0 for plan in settings.plans):
             self._leases = None
-        elif self._leases is None:
-            self._leases = Leases(settings.head, settings.heads, self._now, self._random.getrandbits(16))
+        elif self._leases is None and self._started >= 0:  # it abstains from its start on
+            self._leases = Leases(settings.head, settings.heads, self._now)
             self._at(self._now, self._leases)
         # each keeper's part of what a cold node bears; under a large request it serves nobody: one has all
         small = settings.cold_units < 2 * settings.most_units
@@ -129,7 +131,6 @@
         self._actions = []
         if self._started < 0:
             self._started = self._round_us = self._now
-            self._leases = None  # it abstains from its start on
             self._settle(self._s)
             # heads that start together do not bid together
             self._round_end = self._now + int(ROUND_US * (0.5 + self._random.random()))
@@ -270,7 +271,7 @@
         """A pressured shard does what is served there through all heads, a cold one what it bears."""
         live = [node for node in cell.nodes.values() if node.live] if cell is not None else []
         if live and all(self._cold(node) for node in live):
-            tally.capacity = sum(map(self._bears, live)) * SECOND / self._s.fall_us
+            tally.capacity = sum(map(self._bears, live)) * SECOND / max(1, self._s.fall_us)
             tally.learned, tally.pressed = True, sum(tally.sums[:BANDS]) > tally.capacity
             return
         total = tally.sums[6]
@@ -337,7 +338,7 @@
         # percent thinning: the part of what all heads are offered, by worth, that the shard can do
         thinned = cell.tight and self._random.random() >= cell.chance[request.band]
         # what waits for its limit until its aim is near comes late, and holds up the next
-        if dark or thinned or self._limit_wait(request) > HALF * kind.aim_us:
+        if dark or thinned or self._limit_wait(request) > LIMIT_PART * kind.aim_us:
             self._give_up(request)
             return
         if request.line is None or request.line.members[0] is request:
@@ -559,10 +560,8 @@
     def _alive(self, node: Node, streak: int) -> None:
         if node.silent:
             self._actions.append(api.Log(f"node {node.id} is back"))
-            node.streak, node.silent = streak, False
             self._touched[node.shard] = self._cells[node.shard]
-        elif not streak:
-            node.streak = 0
+        node.streak, node.silent = min(node.streak, streak), False
 
     def _fit(self, node: Node) -> bool:
         """Whether requests may go there. A silent node is tried now and then: by a probe, where probes are
@@ -622,13 +621,16 @@
         wait_us = self._limit_wait(request)
         if wait_us:  # out of the queue until the store has filled so far
             self._unhold(request)
-            if self._now + wait_us > request.taken_us + HALF * request.kind.aim_us:
+            if self._now + wait_us > request.taken_us + LIMIT_PART * request.kind.aim_us:
                 self._give_up(request)
-            self._at(self._now + wait_us, request)
+            else:
+                self._at(self._now + wait_us, request)
             return False
         if not request.sent and self._s.plans[event.plan].limit > 0:
-            request.volume.limit.units -= event.units
-            request.volume.credit.spend(event.units)
+            if self._leases and event.hosts > 1:
+                request.volume.credit.spend(event.units)
+            else:
+                request.volume.limit.units -= event.units
         if request.sent and self._s.extra_floor is not None:
             self._extra.append(self._now)
         if self._cold(node):
@@ -715,7 +717,8 @@
         event, plan, volume = request.arrival, self._s.plans[request.arrival.plan], request.volume
         if plan.limit <= 0 or request.sent:
             return 0
-        if not self._leases or event.hosts <= 1:
+        leases = self._leases if event.hosts > 1 else None
+        if not leases:
             rate, most = plan.limit / event.hosts, plan.limit_burst / event.hosts
             short = event.units - volume.limit.fill(self._now, rate, most)
             late_us = REST_US if event.repeated else 1 + int(short / rate * SECOND)
@@ -729,7 +732,7 @@
                 # a busy volume's head asks also for what comes meanwhile
                 more = 2 * plan.limit * LIFE_US / SECOND if credit.short else 0.0
                 wanted = sum(sizes) + more, min(sizes)
-                self._say(*self._leases.ask(self._now, volume.key, credit, event.plan, *wanted))
+                self._say(*leases.ask(self._now, volume.key, credit, event.plan, *wanted))
         if credit.covers(self._now, event.units):
             return 0
         # where the store is short, first tries have it; a repeat is late for its own
--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -76,24 +76,28 @@
 class Watch:
     """One watch at a time; the core decides when the next one opens, as each call costs discovery.
 
-    pushed: an agent on this machine has the list. Then nobody asks for it: the watch is kept up from here.
+    Where an agent on this machine has the list, nobody asks for it: the watch is kept up from here (follow).
 
     When discovery moves, the watch on its old address goes on until the one on the new has told its list.
     """
 
-    def __init__(
-        self, address: str, directory: Directory, post: Callable[[ev.Event], None], pushed: bool = False
-    ) -> None:
+    def __init__(self, address: str, directory: Directory, post: Callable[[ev.Event], None]) -> None:
         self.counts: Counter[str] = Counter()
-        self._pushed, self._closed = pushed, False
+        self._pushed = self._closed = False
         self._again: asyncio.TimerHandle | None = None
-        self._head_s, self._quiet_s = (PUSH_HEAD_S, PUSH_QUIET_S) if pushed else (HEAD_S, QUIET_S)
+        self._head_s, self._quiet_s = HEAD_S, QUIET_S
         self.address = address
         self._directory, self._post = directory, post
         self._task: asyncio.Task[None] | None = None
         self._old: asyncio.Task[None] | None = None
         self._anew = False  # nothing was heard yet of the discovery at this address
-        self._heard = False  # the present watch has brought something
+
+    def follow(self, pushed: bool) -> None:
+        """Whether the list is pushed, from now on; then the watch is kept up from here."""
+        self._pushed = pushed
+        self._head_s, self._quiet_s = (PUSH_HEAD_S, PUSH_QUIET_S) if pushed else (HEAD_S, QUIET_S)
+        if pushed:
+            self.open()
 
     def open(self) -> None:
         """Start watching, unless a watch is up."""
@@ -128,7 +132,7 @@
 
     async def _follow(self, address: str) -> None:
         self.counts["opened"] += 1
-        self._heard = False
+        begun = asyncio.get_running_loop().time()
         try:
             await self._read(address)
             self.counts["ended"] += 1
@@ -139,9 +143,9 @@
             self._task = None
             self._post(ev.Listed(api.NodeList("failed")))
             if self._pushed and not self._closed:
-                # one that had brought news is replaced at once, one that is turned away a little later
+                # at once, but for those that end as soon as they begin
                 loop = asyncio.get_running_loop()
-                self._again = loop.call_later(0.0 if self._heard else AGAIN_S, self.open)
+                self._again = loop.call_at(max(loop.time(), begun + AGAIN_S), self.open)
 
     async def _read(self, address: str) -> None:
         loop = asyncio.get_running_loop()
@@ -188,7 +192,6 @@
         rest = b""
         limit.reschedule(loop.time() + self._quiet_s)
         async for chunk in response.content.iter_any():
-            self._heard = True
             limit.reschedule(loop.time() + self._quiet_s)
             *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
             if len(rest) > LINE_BYTES:
