Let the library probe silent boxes and watch a pushed list; play both shapes in parity

Read once more: Broker had nothing that performs a probe, so where the settings allow probes a box once silent stayed so to the library; and its Discovery never watched a pushed list, as the daemon had not. Both now use the daemon's pieces. The scenarios of probes and lists share what they had twice.

--- a/harriertide/lab/parity.py
+++ b/harriertide/lab/parity.py
@@ -19,7 +19,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
-from itertools import count, zip_longest
+from itertools import count, product, zip_longest
 from statistics import median
 from typing import Any
 
@@ -289,7 +289,8 @@
         return on_sockets(int(given["--seed"]), float(given["--seconds"]))
     seed, seconds = int(given["--seed"]), float(given["--seconds"])
     matched, differed = 0, 0
-    for kind in [given["FILE"]] if given["FILE"] else kinds:
+    plays = [(given["FILE"], "first")] if given["FILE"] else list(product(kinds, plant.SHAPES))
+    for kind, shape in plays:
         brokers = 2 if kind == "pair" else 1
         if given["FILE"]:
             workload = load(kind)
@@ -299,16 +300,17 @@
                 return [plant.Box(name, shard, seed) for name, shard in sorted(names.items())]
         else:
             drawn = "surge" if kind == "pair" else kind
-            workload, _ = plant.draw(drawn, seed, seconds, hosts=brokers)
+            workload, _ = plant.draw(drawn, seed, seconds, hosts=brokers, shape=shape)
 
-            def make(drawn: str = drawn) -> list[plant.Box]:  # type: ignore[misc]
-                return plant.draw(drawn, seed, seconds)[1]
+            def make(drawn: str = drawn, shape: str = shape) -> list[plant.Box]:  # type: ignore[misc]
+                return plant.draw(drawn, seed, seconds, shape=shape)[1]
 
         daemon, library = play(workload, make, brokers)
         same, differ = compare(daemon, library, brokers)
         matched, differed = matched + same, differed + len(differ)
         served = sum(kind == "served" for _, kind in daemon.ends.values())
-        print(f"{kind}: {len(daemon.ends)} requests, {served} served; matched {same} differed {len(differ)}")
+        ends = f"{len(daemon.ends)} requests, {served} served"
+        print(f"{kind}, {shape}: {ends}; matched {same} differed {len(differ)}")
         print("".join(f"  {line}\n" for line in differ[:3]), end="")
     print(f"matched {matched} differed {differed}")
     return 1 if differed else 0
--- a/harriertide/lab/plant.py
+++ b/harriertide/lab/plant.py
@@ -58,6 +58,7 @@
     faults: list[tuple[float, float, int]] = field(default_factory=list)
     begin: float = 0.0
     unit_s: float = UNIT_S
+    probes: int = 0
     seen: dict[str, int] = field(default_factory=dict)
     _free: list[float] = field(default_factory=lambda: [0.0] * CORES)
     _waiting: int = 0
@@ -69,21 +70,36 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 fields = dict(row.lower().split(": ", 1) for row in head.split("\r\n")[1:-2])
                 await reader.readexactly(int(fields.get("content-length", "0")))
+                if head.startswith("GET /health/live "):
+                    writer.write(await self._probed())
+                    continue
                 writer.write(await self._answer(fields["x-call-id"]))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
+    def _fault(self) -> int | None:
+        """The status that it answers by now, 0 for silence; None: it is well."""
+        past = asyncio.get_running_loop().time() - self.begin
+        return next((status for first, last, status in self.faults if first <= past < last), None)
+
+    async def _probed(self) -> bytes:
+        """Whether it lives, beside its queue."""
+        self.probes += 1
+        if self._fault() == 0:
+            await asyncio.sleep(60)
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
     async def _answer(self, request: str) -> bytes:
         loop = asyncio.get_running_loop()
         now = loop.time()
         number = self.seen[request] = self.seen.get(request, 0) + 1
-        for first, last, status in self.faults:
-            if first <= now - self.begin < last:
-                if status == 0:  # silent
-                    await asyncio.sleep(60)
-                return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+        fault = self._fault()
+        if fault is not None:
+            if fault == 0:
+                await asyncio.sleep(60)
+            return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % fault
         if self._waiting >= QUEUE:
             return b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
         # what a request costs depends on nothing but itself, so that two plays of one workload are alike
--- a/harriertide/library/broker.py
+++ b/harriertide/library/broker.py
@@ -38,6 +38,7 @@
     RefusedError,
     arrival,
 )
+from harriertide.platform.probes import Probes
 
 T = TypeVar("T")
 Perform = Callable[[Attempt], Awaitable[T]]
@@ -141,6 +142,7 @@
         self._limits = Limits.share(sockets, memory_mb)
         self._runtime: Runtime | None = None
         self._client: NodeClient | None = None
+        self._probes: Probes | None = None
         self._refusing = self._stopping = False
         self._open: set[asyncio.Future[ev.Answer]] = set()
         self._grades: list[str] = list(names.plans)
@@ -207,6 +209,8 @@
         self._runtime = Runtime(self.core, Clock(asyncio.get_running_loop()))
         self._runtime.watch = self.source.subscribe
         self._client = NodeClient(self.source.find, CONNECT_US, IDLE_US, self._limits)
+        self._probes = Probes(self._client, self._runtime.post)
+        self._runtime.probe = self._probes.start
         if self._record is not None:
             self._write_down(self._record)
         self.source.start(self._runtime.post)
@@ -257,6 +261,8 @@
             await self.exchange.leave()
         await self.source.close()
         await self._runtime.close(max(end, loop.time()) + LAST_S)
+        if self._probes is not None:
+            await self._probes.close()
         if self._client is not None:
             await self._client.close()
         self._file.close()
--- a/harriertide/library/sources.py
+++ b/harriertide/library/sources.py
@@ -151,10 +151,13 @@
 
 
 class Discovery:
-    """The platform's discovery, watched. known: the list as last held, in its form."""
+    """The platform's discovery, watched. known: the list as last held, in its form.
 
-    def __init__(self, address: str, known: dict[str, object] | None = None) -> None:
-        self._address = address
+    pushed: the address is an agent on this machine, which is watched without being asked to by the core.
+    """
+
+    def __init__(self, address: str, known: dict[str, object] | None = None, pushed: bool = False) -> None:
+        self._address, self._pushed = address, pushed
         self._directory = Directory({})
         self._known = known or {"seq": 0, "whole": True, "hosts": []}
         self._watch: Watch | None = None
@@ -162,6 +165,7 @@
     def start(self, post: Post) -> None:
         self._watch = Watch(self._address, self._directory, post)
         post(ev.Listed(self._directory.read(self._known, "held")))
+        self._watch.follow(self._pushed)
 
     def find(self, box: str) -> str | None:
         return self._directory.find(box)
--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -83,7 +83,7 @@
 
     def __init__(self, address: str, directory: Directory, post: Callable[[ev.Event], None]) -> None:
         self.counts: Counter[str] = Counter()
-        self._pushed = self._closed = False
+        self._pushed = self._closed = self._said = False
         self._again: asyncio.TimerHandle | None = None
         self._head_s, self._quiet_s = HEAD_S, QUIET_S
         self.address = address
@@ -138,7 +138,9 @@
             self.counts["ended"] += 1
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as fault:
             self.counts["broken"] += 1
-            log("watch on discovery ended", kind=type(fault).__name__, reason=str(fault))
+            if not (self._pushed and self._said):  # one line for each time that an agent is away
+                log("watch on discovery ended", kind=type(fault).__name__, reason=str(fault))
+            self._said = True
         if asyncio.current_task() is self._task:  # not one on an address that discovery has left
             self._task = None
             self._post(ev.Listed(api.NodeList("failed")))
@@ -192,6 +194,7 @@
         rest = b""
         limit.reschedule(loop.time() + self._quiet_s)
         async for chunk in response.content.iter_any():
+            self._said = False
             limit.reschedule(loop.time() + self._quiet_s)
             *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
             if len(rest) > LINE_BYTES:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -69,6 +69,12 @@
     asyncio.run(play(script, objects=False, folder=tmp_path))
 
 
+REFUSED = """c send GET /api @0
+        c expect 503"""
+DRAINED = f"""s send 200 Transfer-Encoding=chunked
+        s send list b1=draining
+        wait 0.05
+        {REFUSED}"""
 WATCHED = """s expect GET /registry/instances?watch=1&after=7
         s send 200 Transfer-Encoding=chunked
         s send raw ''
@@ -89,23 +95,38 @@
         wait 0.05
         s close
         s expect GET /registry/instances?watch=1&after=9
+        {DRAINED}""",
+    "an agent that ends each watch after a byte is asked again after a pause": f"""
+        {WATCHED}
+        s close
+        s expect GET /registry/instances?watch=1&after=7
         s send 200 Transfer-Encoding=chunked
-        s send list b1=draining
+        s send raw ''
+        s close
+        s expect nothing
+        s expect GET /registry/instances?watch=1&after=7
+        {DRAINED}""",
+    "a reload that says that the list is asked for ends it, and one that it is pushed begins it": f"""
+        {WATCHED}
+        s send list b1=up
         wait 0.05
-        c send GET /api @0
-        c expect 503""",
-    "an agent that turns the watch away or talks nonsense is asked again and again": """
+        d send config 'settings.membershipMode="ask"'
+        s close
+        s expect GET /registry/instances?watch=1&after=9
+        s send 503
+        wait 0.2
+        s expect nothing
+        d send config 'settings.membershipMode="push"'
+        s expect GET /registry/instances?watch=1&after=9
+        {DRAINED}""",
+    "an agent that turns the watch away or talks nonsense is asked again and again": f"""
         s expect GET /registry/instances?watch=1&after=7
         s send 503
         s expect GET /registry/instances?watch=1&after=7
         s send 200 Transfer-Encoding=chunked
         s send raw nonsense
         s expect GET /registry/instances?watch=1&after=7
-        s send 200 Transfer-Encoding=chunked
-        s send list b1=draining
-        wait 0.05
-        c send GET /api @0
-        c expect 503""",
+        {DRAINED}""",
     "changes that come twice or out of order don't bring back what is gone": f"""
         {WATCHED}
         s send list b1=draining
@@ -147,27 +168,22 @@
         {OK}
         c expect 200
         s expect GET /registry/instances?watch=1&after=7
-        s send 200 Transfer-Encoding=chunked
-        s send list b1=draining
-        wait 0.05
-        c send GET /api @0
-        c expect 503"""
+        {DRAINED}"""
     asyncio.run(play(script, objects=False, folder=tmp_path, wire=PUSHED))
 
 
 PROBING: dict[str, Any] = {**PUSHED, "limits": {**PUSHED["limits"], "probes": True}}
 LOST = "b1 expect GET /api\n        b1 close\n"
-PROBES = {
-    "a silent box is asked whether it lives, and no request is risked on it until it says so": f"""
-        {WATCHED}
+SILENT = f"""{WATCHED}
         c send GET /api @0
         {LOST * 3}
         c expect 503
-        c send GET /api @0
-        c expect 503
+        {REFUSED}
         wait 0.3
-        c send GET /api @0
-        c expect 503
+        {REFUSED}"""
+PROBES = {
+    "a silent box is asked whether it lives, and no request is risked on it until it says so": f"""
+        {SILENT}
         b1 expect GET /health/live X-Call-Id=- Content-Length=-
         b1 send 200 body=live
         wait 0.05
@@ -177,13 +193,7 @@
         c expect 200
         d expect probes=1 probe_ok=1""",
     "a box that answers its probe with nonsense stays silent": rf"""
-        {WATCHED}
-        c send GET /api @0
-        {LOST * 3}
-        c expect 503
-        wait 0.3
-        c send GET /api @0
-        c expect 503
+        {SILENT}
         b1 expect GET /health/live
         b1 send bytes '\x00\xff nonsense\r\n\r\n'
         wait 0.05
@@ -191,13 +201,7 @@
         c expect 503
         d expect probes=1 probe_reset=1""",
     "a box that says it can't, and then nothing, is probed no more often": f"""
-        {WATCHED}
-        c send GET /api @0
-        {LOST * 3}
-        c expect 503
-        wait 0.3
-        c send GET /api @0
-        c expect 503
+        {SILENT}
         b1 expect GET /health/live
         b1 send 503
         c send GET /api @0
--- a/tests/test_parity.py
+++ b/tests/test_parity.py
@@ -30,14 +30,31 @@
     assert kind in ("calm", "cold", "drains") or ends.count("refused") > 50
 
 
-def test_two_brokers_that_share_decide_as_two_daemons_do() -> None:
-    workload, _ = plant.draw("surge", 7, 4.0, hosts=2)
-    daemon, library = parity.play(workload, lambda: plant.draw("surge", 7, 4.0)[1], 2)
+@pytest.mark.parametrize("shape", plant.SHAPES)
+def test_two_brokers_that_share_decide_as_two_daemons_do(shape: str) -> None:
+    workload, _ = plant.draw("surge", 7, 4.0, hosts=2, shape=shape)
+    daemon, library = parity.play(workload, lambda: plant.draw("surge", 7, 4.0, shape=shape)[1], 2)
     matched, differ = parity.compare(daemon, library, 2)
     assert not differ, differ[:3]
     assert matched > 2000
 
 
+def test_a_silent_box_is_probed_by_daemon_and_library_and_both_use_it_again() -> None:
+    """The library had nothing that performs a probe: a box once silent would have stayed so to it."""
+    workload, _ = plant.draw("failing", 7, 8.0, shape="other")
+    made: list[list[plant.Box]] = []
+
+    def make() -> list[plant.Box]:
+        made.append(plant.draw("failing", 7, 8.0, shape="other")[1])
+        return made[-1]
+
+    daemon, library = parity.play(workload, make)
+    for boxes, played in zip(made, (daemon, library), strict=True):
+        assert 3 <= boxes[2].probes <= 3 / 0.25 + 1  # silent from 3 s to 6 s; one in 250 ms
+        late = [d for d in played.decisions if d[1] == "attempt" and d[4] == "box-2" and d[0] > 6_500_000]
+        assert len(late) > 10
+
+
 def test_a_difference_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """The comparison must be able to fail: a library that keeps 1 ms less of the client's time."""
     monkeypatch.setattr(parity, "SENT_BEFORE_US", parity.SENT_BEFORE_US + 1_000)
