--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -6,6 +6,7 @@
   bench-library  what a request costs direct, through the library and through the daemon
   limits         how much of a plan's limit heads use that lose messages and die
   parity         one workload through daemon and library; every decision compared
+  processes      real brokers with faults between them, judged at the box by a plan's limit
   second-copy    look for second copies on real sockets; see docs/measurements/second-copy.md
 """
 
@@ -20,6 +21,7 @@
     "bench-library": "bench_library",
     "limits": "limits",
     "parity": "parity",
+    "processes": "processes",
     "second-copy": "second_copy",
 }
 
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -12,11 +12,14 @@
 
 from harriertide.core import events as ev
 from harriertide.decide import api
-from harriertide.decide.rules import Scheduler
+from harriertide.decide.rules import NEVER_RAN, Scheduler
 
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
 # could not be written this soon after it was decided (a slow connection) goes back as never sent.
 COLD_WRITE_US = 40_000
+# Guards against units of a limit that were given for now and arrive later, when their store has filled in
+# their place: a broker stood still, or a box could not be reached at first. The rule allows so much.
+LIMIT_WRITE_US = 150_000
 # Guards against a second copy at the boxes. An attempt that ended without a whole answer was closed by this
 # broker before the next is written, but its box learns of that when it reads that connection, and it reads
 # its connections in any order, late when it is short of processor. docs/measurements/second-copy.md has how
@@ -46,6 +49,8 @@
 
     arrival: api.Arrival
     made: int = 0
+    first_us: int = 0  # when its first attempt was decided
+    reached: bool = False  # an attempt may have come to a box
     out: int = -1  # the attempt that is out; -1: none
     node: str = ""
     sent_us: int = 0
@@ -102,6 +107,9 @@
             return "full"
         if now_us >= taken.stop_us:
             return "full"  # it would be closed at once: nothing ran, and nothing is wrong with the box
+        limited = self.settings.plans[taken.arrival.plan].limit > 0 and not taken.reached
+        if limited and now_us - taken.first_us > LIMIT_WRITE_US:
+            return "moot"
         cold = node.started_us > 0 and now_us < node.started_us + self.settings.cold_us
         if cold and now_us - taken.sent_us > COLD_WRITE_US:
             return "connect_failed"
@@ -165,6 +173,7 @@
             return []
         self.counts[f"outcome_{event.kind}"] += 1
         node, taken.out = taken.node, -1
+        taken.reached = taken.reached or event.kind not in NEVER_RAN
         if event.kind in _UNSETTLED:
             taken.settled_us = now_us + SETTLE_US
         if event.kind == "ok" and not taken.answered:
@@ -250,6 +259,7 @@
             self.counts["turned_back"] += 1
             return [api.Outcome(action.request, number, action.node, "moot", 0, taken.answered)]
         taken.out, taken.node, taken.sent_us = number, action.node, now_us
+        taken.first_us = taken.first_us or now_us
         taken.stop_us = min(action.stop_at_us or taken.arrival.give_up_us, taken.arrival.give_up_us)
         self.counts["attempts"] += 1
         from_us = taken.settled_us if taken.settled_us > now_us else 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -770,9 +770,13 @@
     finally:
         if not world.tasks:
             world.tasks.append(asyncio.create_task(daemon.stop()))
-        for stand in stands.values():
+        boxes = {name: stands.pop(name) for name in ("b1", "b2")}
+        for stand in boxes.values():
             await stand.close()
         await asyncio.gather(*world.tasks)
+        # last: a daemon that stops still asks a pushed list's agent; its port must not be another test's yet
+        for stand in stands.values():
+            await stand.close()
 
 
 @pytest.mark.parametrize("script", PLATFORM.values(), ids=PLATFORM.keys())
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from harriertide.core import events as ev
-from harriertide.core.reducer import COLD_WRITE_US, SETTLE_US, Reducer
+from harriertide.core.reducer import COLD_WRITE_US, LIMIT_WRITE_US, SETTLE_US, Reducer
 from harriertide.decide import api
 from tests.helpers import SETTINGS, START_US
 
@@ -221,3 +221,23 @@
     assert len(answered) == len(set(answered))
     assert core.owed() == 0
     assert set(answered) | left >= {f"r{n + 1}" for n in range(made)}
+
+
+@pytest.mark.parametrize("ended", ["connect_failed", "full", "reset"])
+def test_units_of_a_limit_are_not_written_later_than_the_rule_allows(ended: Any) -> None:
+    """A broker stood still between decision and write, or a first attempt never came to its box."""
+    limited = replace(arrival().arrival, plan=1)
+    module = Scripted([send()], [send()], [send()])
+    core = Reducer(LONE, 1, module)
+    core.step(START_US, [HELD, ev.Arrived(limited)])
+    assert core.may_write("r", 0, START_US + LIMIT_WRITE_US) is None
+    assert core.may_write("r", 0, START_US + LIMIT_WRITE_US + 1) == "moot"
+    core.step(START_US + LIMIT_WRITE_US, [ev.Ended("r", 0, ended)])
+    late = core.may_write("r", 1, START_US + LIMIT_WRITE_US + 20_000)
+    assert late == (None if ended == "reset" else "moot")  # one that may have come has taken its units
+
+
+def test_plans_without_a_limit_are_written_whenever_their_time_lasts() -> None:
+    core = Reducer(LONE, 1, Scripted([send()]))
+    core.step(START_US, [HELD, arrival()])
+    assert core.may_write("r", 0, START_US + 2 * LIMIT_WRITE_US) is None
