Open a watch that has fallen silent anew at once: drains went unheard for seconds

Cause, by a trace of watches and writes: 49 watches fell silent at 0.7 to 3 s. The brokers found out after QUIET_S, 4.5 s, and told their core 'failed', whose wait for a failed call is 40 ms a head times 0.5 to 1.5, here 4 to 12 s (rules.py, _list). n5: silent from 0.7 s, given up at 5.18, asked again at 10.98; drains were listed at 6.63. What a silent watch misses counts as told 6 s after its last word. Two more brokers waited HEAD_S, 6 s, for a call's head that never came. Change: platform/discovery.py opens a watch that fell silent anew at once, and a call that nobody answered, once; if nothing comes then either, the core says when, as before. A call's head is waited for no longer than a watch's word (4.5 s). Wrong guess: that the reopened calls would press discovery; each was answered within 2 ms.

--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -14,10 +14,11 @@
 from harriertide.decide import api
 from harriertide.engine.log import log
 
-CONNECT_S, HEAD_S = 1.0, 6.0
-# Guards against a discovery that vanished without a reset: an empty line is due every 2 s, and a change
-# counts as told 6 s later at the latest, so a watch this quiet is over.
-QUIET_S = 4.5
+CONNECT_S = 1.0
+# Guards against a discovery that vanished without a reset: an empty line is due every 2 s, and a call is
+# answered or turned away within about as long. A change counts as told 6 s after the last word at the latest,
+# so a watch this quiet is over, and so is a call, with time to ask once more.
+QUIET_S = HEAD_S = 4.5
 # Lists that an agent pushes count as told as soon as it has them, and asking it costs nothing: there a watch
 # that ends is opened again by itself, at once and then this often, and one that is late is given up sooner.
 AGAIN_S, PUSH_HEAD_S, PUSH_QUIET_S = 0.1, 1.0, 2.5
@@ -91,6 +92,7 @@
         self._task: asyncio.Task[None] | None = None
         self._old: asyncio.Task[None] | None = None
         self._anew = False  # nothing was heard yet of the discovery at this address
+        self._pressing = False  # what is open was opened at once, behind one that fell silent
 
     def follow(self, pushed: bool) -> None:
         """Whether the list is pushed, from now on; then the watch is kept up from here."""
@@ -133,6 +135,7 @@
     async def _follow(self, address: str) -> None:
         self.counts["opened"] += 1
         begun = asyncio.get_running_loop().time()
+        silent = False
         try:
             await self._read(address)
             self.counts["ended"] += 1
@@ -141,10 +144,18 @@
             if not (self._pushed and self._said):  # one line for each time that an agent is away
                 log("watch on discovery ended", kind=type(fault).__name__, reason=str(fault))
             self._said = True
+            silent = isinstance(fault, TimeoutError) and not self._pressing
         if asyncio.current_task() is self._task:  # not one on an address that discovery has left
             self._task = None
-            self._post(ev.Listed(api.NodeList("failed")))
-            if self._pushed and not self._closed:
+            if silent:
+                # What it misses counts as told 6 s after its last word: no time for the wait that a failed
+                # call asks for. Discovery has ended nothing, so this is no call that it turned away. Once:
+                # where nothing comes then either, the core says when to ask again.
+                self.counts["silent"] += 1
+                self._pressing = True
+            else:
+                self._post(ev.Listed(api.NodeList("failed")))
+            if (self._pushed or silent) and not self._closed:
                 # at once, but for those that end as soon as they begin
                 loop = asyncio.get_running_loop()
                 self._again = loop.call_at(max(loop.time(), begun + AGAIN_S), self.open)
@@ -194,7 +205,7 @@
         rest = b""
         limit.reschedule(loop.time() + self._quiet_s)
         async for chunk in response.content.iter_any():
-            self._said = False
+            self._said = self._pressing = False
             limit.reschedule(loop.time() + self._quiet_s)
             *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
             if len(rest) > LINE_BYTES:
