Test maintenance with several processes: deaths, pauses, cuts, splits, bad disks

Each hard case of the issue is caused with real processes, a relay on each directed link, and a judge that reads logs only and is shown to find seven planted faults. Found by them: ports of the rig that somebody's connection took meanwhile.

--- a/harriertide/lab/rig.py
+++ b/harriertide/lab/rig.py
@@ -21,7 +21,7 @@
 from contextlib import ExitStack, suppress
 from dataclasses import asdict, dataclass
 from pathlib import Path
-from random import Random
+from random import Random, SystemRandom
 from typing import IO, Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
@@ -434,9 +434,15 @@
 
 
 def _ports(number: int) -> list[int]:
-    """Ports that are free by now."""
+    """Ports that are free by now, under those that the system gives to connections: one that a broker has
+    left for a moment must not be taken by somebody's connection."""
+    random, found = SystemRandom(), []
     with ExitStack() as stack:
-        held = [stack.enter_context(socket.socket()) for _ in range(number)]
-        for each in held:
-            each.bind((HOST, 0))
-        return [int(each.getsockname()[1]) for each in held]
+        while len(found) < number:
+            held = stack.enter_context(socket.socket())
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            port = random.randrange(12_000, 32_000)
+            with suppress(OSError):
+                held.bind((HOST, port))
+                found.append(port)
+    return found
