--- a/harriertide/cli/demo.py
+++ b/harriertide/cli/demo.py
@@ -1,10 +1,11 @@
 """Stand-in boxes, the daemon and its object front, on loopback, until Ctrl-C.
 
-Usage: harriertide demo [--port PORT] [--boxes N] [--folder DIR]
+Usage: harriertide demo [--port PORT] [--boxes N] [--brokers N] [--folder DIR]
 
 Options:
   --port PORT   of the object front; 0 lets the system choose [default: 9100]
   --boxes N     how many stand-in boxes [default: 3]
+  --brokers N   1, 3 or 5; several agree on maintenance, each with a disk of its own [default: 1]
   --folder DIR  where the operator's file and the catalogue are kept; else a folder that is deleted
 """
 
@@ -15,7 +16,9 @@
 import subprocess
 import sys
 import tempfile
+import time
 from contextlib import ExitStack
+from functools import partial
 from pathlib import Path
 from typing import IO, Any
 
@@ -76,6 +79,8 @@
 
 def main(given: dict[str, Any]) -> int:
     """Until it is interrupted."""
+    if given["--brokers"] not in ("1", "3", "5"):
+        raise PlainError(f"--brokers: {given['--brokers']} is none of 1, 3 and 5")
     for name, least, most in (("--port", 0, 65535), ("--boxes", 1, 32)):
         if not str(given[name]).isdigit() or not least <= int(given[name]) <= most:
             raise PlainError(f"{name}: {given[name]} is no whole number from {least} to {most}")
@@ -90,7 +95,8 @@
             made = tempfile.TemporaryDirectory(prefix="harriertide-")
             folder = given["--folder"] or stack.enter_context(made)
             Path(folder).mkdir(exist_ok=True)
-            _play(stack, Path(folder), int(given["--port"]), int(given["--boxes"]))
+            play = _play if given["--brokers"] == "1" else partial(_several, int(given["--brokers"]))
+            play(stack, Path(folder), int(given["--port"]), int(given["--boxes"]))
         except KeyboardInterrupt:
             print("stopping", flush=True)
     return 0
@@ -106,13 +112,53 @@
             raise PlainError(f"--port: 127.0.0.1:{port} can't be had: {fault.strerror}") from None
 
 
-def _play(stack: ExitStack, folder: Path, port: int, count: int) -> None:
-    _free(port)
+def _boxes(stack: ExitStack, count: int) -> str:
+    """Start boxes; their rows of the operator's file."""
     rows = ""
     for place in range(count):
         at = _word(_start(stack, "box").stdout, "box on ")
         print(f"box-{place + 1}       on {at}")
         rows += f'\n[boxes.box-{place + 1}]\naddress = "{at}"\nshard = {place}\n'
+    return rows
+
+
+def _several(number: int, stack: ExitStack, folder: Path, port: int, count: int) -> None:
+    """Brokers that agree, one process each."""
+    held = [stack.enter_context(socket.socket()) for _ in range(number)]
+    for each in held:
+        each.bind(("127.0.0.1", 0))
+    names = [f"broker-{place + 1}" for place in range(number)]
+    section = ""
+    for name, each in zip(names, held, strict=True):
+        at = f"127.0.0.1:{each.getsockname()[1]}"
+        section += f'\n[maintenance.brokers.{name}]\naddress = "{at}"\nvoter = "yes"\n'
+        each.close()
+    boxes = _boxes(stack, count)
+    admins, daemons = [], []
+    for name in names:
+        file = folder / f"{name}.toml"
+        text = FILE.format(port=0, catalogue=folder / f"{name}.sqlite3", boxes=boxes)
+        own = f'\n[maintenance]\nname = "{name}"\nfolder = "{folder / name}"\n'
+        file.write_text(text + own + section, encoding="utf-8")
+        daemon = _start(stack, "serve", "--objects", str(file))
+        at, admin = (_word(daemon.stderr, "event=serves on=") for _ in range(2))
+        print(f"{name} front on {at}, admin on {admin}")
+        admins.append(admin)
+        daemons.append(daemon)
+    order = folder / "order.toml"
+    order.write_text('order = "firmware"\nmachines = ["box-1", "box-2"]\nwork = "restart"\ntakes_s = 60\n')
+    print("\ntry:")
+    for words in ("status", f"plan {order}", f"request {order}", "status", "done box-1"):
+        print(f"  {sys.executable} -m harriertide maintenance {words} --at {admins[0]}")
+    print("\nCtrl-C ends it.", flush=True)
+    while all(daemon.poll() is None for daemon in daemons):
+        time.sleep(0.2)
+    raise PlainError("demo: a broker has ended")
+
+
+def _play(stack: ExitStack, folder: Path, port: int, count: int) -> None:
+    _free(port)
+    rows = _boxes(stack, count)
     file = folder / "objects.toml"
     text = FILE.format(port=port, catalogue=folder / "catalogue.sqlite3", boxes=rows)
     file.write_text(text, encoding="utf-8")
--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -4,6 +4,7 @@
 
 Experiments:
   bench-library  what a request costs direct, through the library and through the daemon
+  bench-maintenance  what rolling work and agreement cost
   consensus-check  a search through the states of three members of the agreed log, and drawn courses of five
   limits         how much of a plan's limit heads use that lose messages and die
   maintenance    orders of work on real brokers and boxes, with drawn faults between them
@@ -21,6 +22,7 @@
 
 EXPERIMENTS = {
     "bench-library": "bench_library",
+    "bench-maintenance": "bench_upkeep",
     "consensus-check": "check",
     "limits": "limits",
     "maintenance": "upkeep",
--- a/harriertide/cli/maintenance.py
+++ b/harriertide/cli/maintenance.py
@@ -81,7 +81,8 @@
 
 def _plan(answer: dict[str, Any]) -> list[str]:
     rows = [
-        f"{row['after_s']:9.1f} s  {row['machine']}  {row['left']:.0%} of the units left"
+        f"{row['after_s']:9.1f} s  {row['machine']}  "
+        + (f"{row['left']:.0%} of the units left" if row["left"] >= 0 else "no units are stated")
         for row in answer["steps"]
     ]
     rows += [f"    never   {name}" for name in answer["never"]]
--- a/harriertide/consensus/fanout.py
+++ b/harriertide/consensus/fanout.py
@@ -59,6 +59,7 @@
     check: int = 0
     offset: int = 0
     data: bytes = b""
+    waits: dict[str, list[str]] = {}  # for people: what each machine waits for, as the leader sees it
 
 
 def bits(places: set[int]) -> bytes:
--- a/harriertide/lab/rig.py
+++ b/harriertide/lab/rig.py
@@ -198,13 +198,14 @@
     def __init__(
         self, folder: Path, brokers: int, boxes: int, seed: int, lease_ms: int = 1_000, cold_s: int = 0,
         blind_s: int = 0, voters: int = 0, labels: dict[str, str] | None = None, took_s: float = 0.005,
+        direct: bool = False,
     ) -> None:  # fmt: skip
         self.folder, self.number, self.random, self.part = folder, brokers, Random(seed), 0.0
         self.voters = voters or brokers
         self.lease_ms, self.cold_s, self.blind_s = lease_ms, cold_s, blind_s
         self.names = [f"b{place + 1}" for place in range(brokers)]
         self.boxes = [Box(self, f"x{place + 1}", took_s) for place in range(boxes)]
-        self.labels = labels or {}
+        self.labels, self.direct = labels or {}, direct  # direct: no relays
         self.ports = _ports(brokers)
         self.fronts, self.admins = _ports(brokers), _ports(brokers)
         self.links = {(a, b): Link(self, a, b) for a in range(brokers) for b in range(brokers) if a != b}
@@ -245,7 +246,7 @@
             f"cold_s = {self.cold_s}", f"blind_s = {self.blind_s}",
         ]  # fmt: skip
         for number, other in enumerate(self.names):
-            port = self.ports[number] if number == place else self.links[place, number].port
+            port = self.ports[number] if number == place or self.direct else self.links[place, number].port
             voter = "yes" if number < self.voters else "no"
             rows += [f"[maintenance.brokers.{other}]", f'address = "{HOST}:{port}"', f'voter = "{voter}"']
         for number, box in enumerate(self.boxes):
@@ -436,7 +437,8 @@
 def _ports(number: int) -> list[int]:
     """Ports that are free by now, under those that the system gives to connections: one that a broker has
     left for a moment must not be taken by somebody's connection."""
-    random, found = SystemRandom(), []
+    random = SystemRandom()
+    found: list[int] = []
     with ExitStack() as stack:
         while len(found) < number:
             held = stack.enter_context(socket.socket())
--- a/harriertide/maintenance/planner.py
+++ b/harriertide/maintenance/planner.py
@@ -286,8 +286,8 @@
 def forecast(
     upkeep: Upkeep, order: Order, rules: Rules, facts: Facts, now_s: float
 ) -> list[tuple[float, str, float]]:
-    """Played ahead on a copy: (seconds from now, machine, part of the capacity that is left), in the order
-    of going."""
+    """Played ahead on a copy, in the order of going: seconds from now, the machine, and the part of the
+    capacity that is left (-1: no units are stated)."""
     copy = Upkeep()
     copy.load(upkeep.dump())
     copy.state.orders[order.id], copy.state.asked_s[order.id] = order, now_s
@@ -295,7 +295,8 @@
     planner, at, idle = Planner(copy, rules), 0.0, 0
     found: list[tuple[float, str, float]] = []
     every = set(range(len(copy.state.brokers)))
-    whole = planner.capacity(facts, 1) or 1.0  # not known: no part of it is either
+    facts.alive, facts.failed = every, {}  # nothing more fails: a follower hears nothing of that anyhow
+    whole = planner.capacity(facts, 1)
     step_s = max(0.1, min(order.takes_s, rules.cold_s or 1.0) / 4)
     while copy.open(order.id) and at < 30 * 24 * 3600 and len(found) <= 4 * len(order.machines):
         now_us = int(at * 1_000_000) + 1
@@ -309,7 +310,8 @@
             if isinstance(command, (Permit, Move)):
                 copy._take(command)
                 if isinstance(command, Permit) and command.order == order.id:
-                    found.append((at, command.machine, planner.capacity(facts, now_us) / whole))
+                    left = planner.capacity(facts, now_us) / whole if whole else -1.0
+                    found.append((at, command.machine, left))
         idle = 0 if before or copy.under_way() else idle + 1
         if idle > 2:
             break  # nothing can go: the caller sees which are missing
--- a/harriertide/upkeep/member.py
+++ b/harriertide/upkeep/member.py
@@ -138,6 +138,7 @@
         self._rounds: dict[int, tuple[int, dict[str, int]]] = {}
         self._folder = folder
         self.halted = ""
+        self.waits: dict[str, list[str]] = {}  # as the leader told it last
         self.fan = Fan(name, tuple(brokers), voters, lease_us, self.now_us())
         self.replica: Replica | None = None
         self.follower: Follower | None = None
@@ -315,6 +316,8 @@
 
     def _fed(self, now: int, feed: Feed) -> None:
         self.fan.hear_feed(now, feed)
+        if feed.granted and not self.leads:
+            self.waits = feed.waits
         if self.follower is not None:
             was = self.follower.course.applied
             for entry, answer, fresh, digest in self.follower.take(feed):
@@ -331,7 +334,7 @@
     def _feed(self, now: int) -> None:
         """Grants, and what children lack."""
         for name, number, index in self.fan.grants(now):
-            self._send(name, Feed(self.name, self.leader, number, index))
+            self._send(name, Feed(self.name, self.leader, number, index, waits=self.waits))
         applied = self.course.applied
         for name, child in self.fan.children.items():
             if name in self.voters:
--- a/harriertide/upkeep/service.py
+++ b/harriertide/upkeep/service.py
@@ -291,6 +291,12 @@
             return
         for command in self.planner.look(self.facts, now, self._wall_s()):
             self._propose(now, command)
+        self.broker.waits = {
+            f"{name}/{step.machine}": waits
+            for name, rows in state.steps.items()
+            for step in rows.values()
+            if (waits := self.planner.waits(step, self.facts, now, self._wall_s()))
+        }
 
     def _propose(self, now: int, command: Command) -> None:
         name = encode(msgspec.structs.replace(command, at_s=0.0))
@@ -378,7 +384,7 @@
         now_s = self._wall_s()
         order: Order = orders.read_order(raw, await self._machines(), now_s)
         found = forecast(self.upkeep, order, self.rules, self._copy(), now_s)
-        least = min((left for _, _, left in found), default=1.0)
+        least = min((left for _, _, left in found if left >= 0), default=1.0)
         going = [name for _, name, _ in found]
         return {
             "from": self._mark(),
@@ -416,7 +422,7 @@
 
     async def status(self) -> dict[str, Any]:
         """For people and scripts; `knows` says whether this broker can tell how things stand."""
-        now, now_s = self.broker.now_us(), self._wall_s()
+        now = self.broker.now_us()
         knows = await self.broker.read(1.0)
         state, broker = self.upkeep.state, self.broker
         rows = []
@@ -427,8 +433,7 @@
                     "machine": step.machine, "phase": step.phase, "fence": step.fence,
                     "for_s": self._for_s(step, now), "overdue": step.overdue,
                 }  # fmt: skip
-                if broker.leads:
-                    row["waits"] = self.planner.waits(step, self.facts, now, now_s)
+                row["waits"] = broker.waits.get(f"{name}/{step.machine}", [])
                 steps.append(row)
             over = not self.upkeep.open(name)
             rows.append({"order": name, "over": over, "cancelled": name in state.cancelled, "steps": steps})
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -136,3 +136,33 @@
         box.send_signal(signal.SIGTERM)
         box.communicate(timeout=10)
     assert box.returncode == 0
+
+
+def test_several_brokers_of_the_demo_take_an_order(tmp_path: Path) -> None:
+    demo = start("demo", "--brokers", "3", "--boxes", "2", "--folder", str(tmp_path))
+    try:
+        assert demo.stdout is not None
+        said = ""
+        while "Ctrl-C" not in said:
+            line = demo.stdout.readline()
+            assert line, demo.communicate(timeout=10)
+            said += line
+        calls = re.findall(r"^  (.*)$", said.partition("try:")[2], re.MULTILINE)
+        assert len(calls) == 5
+
+        def call(words: str, wanted: str) -> None:
+            for _ in range(100):  # founding takes a moment, and so does a drain
+                done = subprocess.run(["/bin/sh", "-c", words], cwd=ROOT, capture_output=True, text=True)
+                if wanted in done.stdout:
+                    return
+            raise AssertionError(f"{words}: {done}")
+
+        call(calls[0], "leader broker-")
+        call(calls[1], "takes 140.0 s")
+        call(calls[2], "agreed on")
+        call(calls[3], "waits for `maintenance done box-1`") if "--at" in calls[3] else None
+        call(calls[4], "agreed on")
+    finally:
+        demo.send_signal(signal.SIGINT)
+        _, err = demo.communicate(timeout=20)
+    assert demo.returncode == 0 and "Traceback" not in err
