Count boxes that are away unplanned, hand leadership over before a broker's turn

Brokers report boxes that showed no sign of life (two attempts in a row, or one failed connection, in the last 10 s); seen so by over half of them for a second, a box counts as away: it uses up what may be away at once.

--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -12,7 +12,7 @@
 
 from harriertide.core import events as ev
 from harriertide.decide import api
-from harriertide.decide.rules import NEVER_RAN, Scheduler
+from harriertide.decide.rules import NEVER_RAN, NO_LIFE, Scheduler
 
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
 # could not be written this soon after it was decided (a slow connection) goes back as never sent.
@@ -79,6 +79,7 @@
         # goes by what it knew before.
         self.barred: Callable[[str], bool] | None = None
         self.offered_units = 0.0
+        self.lifeless: Counter[str] = Counter()  # by node: attempts in a row that brought no sign of life
         # Ids that are free again, and from when on: guards against one that is used once more right behind an
         # attempt that was cut off. Soonest first.
         self._settling: dict[str, int] = {}
@@ -186,6 +187,13 @@
         self.counts[f"outcome_{event.kind}"] += 1
         node, taken.out = taken.node, -1
         taken.reached = taken.reached or event.kind not in NEVER_RAN
+        if self.barred is None or node not in self._nodes:
+            pass  # nobody asks
+        elif event.kind in NO_LIFE:
+            # one that can't be reached is tried seldom from then on: that alone says as much as two others
+            self.lifeless[node] += 2 if event.kind == "connect_failed" else 1
+        elif event.kind not in NEVER_RAN:
+            self.lifeless.pop(node, None)
         if event.kind in _UNSETTLED:
             taken.settled_us = now_us + SETTLE_US
         if event.kind == "ok" and not taken.answered:
@@ -216,9 +224,11 @@
         self.counts[f"list_{news.kind}"] += 1
         if news.kind in ("whole", "held"):
             self._nodes = {}
+            self.lifeless.clear()
         for entry in news.nodes:
             if entry.state == "gone":
                 self._nodes.pop(entry.node, None)
+                self.lifeless.pop(entry.node, None)
             else:
                 self._nodes[entry.node] = entry
         return [news]
--- a/harriertide/lab/fleet.py
+++ b/harriertide/lab/fleet.py
@@ -101,6 +101,7 @@
         )  # fmt: skip
         self.offered_units = 0.0
         self.barred: Callable[[str], bool] | None = None
+        self.lifeless: Counter[str] = Counter()
         self.open: Counter[str] = Counter()
         self.ready = True
 
@@ -388,12 +389,19 @@
     end = loop.time() + seconds
     work = loop.create_task(fleet.operate(end + 90.0))
 
+    whole_s = [0.0]
+
     async def fault() -> None:
-        what = random.choice(("kill", "kill", "cut", "apart", "lost", "jump", "all"))
+        what = random.choice(("kill", "kill", "cut", "apart", "lost", "jump", "all", "lose-disk"))
         a, b = random.sample(fleet.names[: voters + 2], 2)
         for_s = random.uniform(0.2, 3.0)
-        if what == "kill":
+        if what == "lose-disk" and loop.time() < whole_s[0]:
+            what = "kill"  # two disks at once with other faults may be more than a minority
+        if what in ("kill", "lose-disk"):
             await fleet.kill(a)
+            if what == "lose-disk":
+                whole_s[0] = loop.time() + for_s + 10.0
+                fleet.disks[a] = MemoryDisk(f"{a}-{fleet.lives[a] + 1}")
             await until(loop.time() + for_s)
             if a not in fleet.services:
                 await fleet.start(a)
--- a/harriertide/lab/rig.py
+++ b/harriertide/lab/rig.py
@@ -160,12 +160,13 @@
     def __init__(self, rig: Rig, name: str, took_s: float) -> None:
         self.rig, self.name, self.took_s = rig, name, took_s
         self.blobs: dict[str, bytes] = {}
+        self.port = 0
 
-    async def open(self) -> None:
-        """Serve."""
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+    async def open(self, again: bool = False) -> None:
+        """Serve; again: at the port that it had."""
+        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None), shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, HOST, 0)
+        site = web.TCPSite(self._runner, HOST, self.port if again else 0)
         await site.start()
         self.port = int(self._runner.addresses[0][1])
 
--- a/harriertide/upkeep/member.py
+++ b/harriertide/upkeep/member.py
@@ -201,10 +201,15 @@
         else:
             self.events.say("starts", disk="", cluster="", life=self.life)
 
-    async def close(self) -> None:
-        """Hand over, and let go of all."""
+    def hand_over(self) -> None:
+        """To the best of the others, if this broker leads."""
         if self.replica is not None and self.leads:
             self._do(self.replica.step(self.now_us(), ev.Transfer()))
+
+    async def close(self) -> None:
+        """Hand over, and let go of all."""
+        if self.leads:
+            self.hand_over()
             await until(asyncio.get_running_loop().time() + 0.1)
         for task in self._tasks:
             task.cancel()
--- a/harriertide/upkeep/service.py
+++ b/harriertide/upkeep/service.py
@@ -45,7 +45,8 @@
 CALL_S = 5.0
 WINDOW_US = 2_000_000  # over which rates are taken
 YOUNG_US = 60_000_000  # of a process: so long it says which one it is
-BODY_BYTES = 256 * 1024
+STALE_US = 10_000_000  # nothing was tried there since: it may be back
+LIFELESS = 2  # attempts in a row without a sign of life, or one failed connection: it is away, seen from here
 
 
 class Boxes(Protocol):
@@ -62,6 +63,7 @@
 
     settings: api.Settings
     offered_units: float
+    lifeless: Counter[str]
     barred: Callable[[str], bool] | None
 
     def out_at(self, node: str) -> int:
@@ -111,6 +113,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._window: list[tuple[int, float]] = []
         self._leaving = False
+        self._away: dict[str, tuple[int, int]] = {}  # lifeless attempts there, and since when
         self._seen: dict[tuple[str, str], tuple[tuple[str, int], int]] = {}
         self.counts: Counter[str] = Counter()
         self._timer: asyncio.Task[None] | None = None
@@ -204,6 +207,8 @@
         if leaving != self._leaving:
             self._leaving = leaving
             self._ready(not leaving)
+            if leaving:
+                self.broker.hand_over()
 
     # --- facts ----------------------------------------------------------------------------------------
 
@@ -234,7 +239,13 @@
             load = (self.core.offered_units - offered) * 1_000_000 / max(1, now - began)
         if now - self._began_us < YOUNG_US or self.upkeep.step_of(broker.name) is not None:
             lives = {broker.name: broker.life}
-        return Report(broker.name, 0, broker.course.applied, mine, lives, known, clear, load)
+        failed = {}
+        for name, number in self.core.lifeless.items():
+            if self._away.get(name, (0, 0))[0] != number:
+                self._away[name] = number, now
+            if number >= LIFELESS and now - self._away[name][1] < STALE_US:
+                failed[name] = 1
+        return Report(broker.name, 0, broker.course.applied, mine, lives, known, clear, load, failed=failed)
 
     def _granted(self, asked: tuple[int, dict[str, int]]) -> None:
         """As leader: a majority has confirmed it; whose reports were in that round holds a lease from them
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -249,6 +249,28 @@
     assert played(tmp_path, body, at_once=2).finished == 1
 
 
+def test_a_box_that_is_away_unplanned_uses_up_what_may_be_away(tmp_path: Path) -> None:
+    async def body(rig: Rig) -> None:
+        load = asyncio.ensure_future(writes(rig, [0, 1, 2]))
+        await rig.boxes[3].close()
+
+        async def seen() -> bool:
+            return "x4" in (await status(rig)).get("failed", [])
+
+        await eventually(seen)
+        await request(rig, ["x1"])
+
+        async def told() -> bool:
+            return "x4 is away" in str((await status(rig))["orders"][0]["steps"][0]["waits"])
+
+        await eventually(told)
+        await rig.boxes[3].open(again=True)
+        await finish(rig)
+        load.cancel()
+
+    assert played(tmp_path, body).finished == 1
+
+
 def test_a_rolling_restart_of_all_brokers_by_their_own_order_under_load(tmp_path: Path) -> None:
     async def body(rig: Rig) -> None:
         load = asyncio.ensure_future(writes(rig, list(range(5))))
