Count learned rates of boxes under pressure, refuse a second process on one disk

Capacity where no units are stated: what the decision module has learned of boxes that are under pressure now. A folder is locked by its process, and let go only when its last write is over. Real processes show a cold box counted as what it bears.

--- a/harriertide/consensus/store.py
+++ b/harriertide/consensus/store.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import struct
 from collections.abc import Callable
@@ -114,6 +115,7 @@
     failed: str = ""
     size: int = 0
     _file: int = -1
+    _guard: int = -1
     _live: list[Entry] = field(default_factory=list)
     _hard: tuple[str, int, Member | None] = ("", 0, None)
     _snapshot: Snapshot | None = None
@@ -126,12 +128,21 @@
         """
         try:
             folder.mkdir(parents=True, exist_ok=True)
+            lock = _lock(folder)
+        except OSError as fault:
+            raise StoreError(f"{folder}: {fault.strerror}") from None
+        try:
             disk = _identity(folder, sync)
             found, live, hard, path, number = _read(folder)
             descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
-        except OSError as fault:
-            raise StoreError(f"{folder}: {fault.strerror}") from None
-        made = cls(folder, disk, found, path, number, sync, _file=descriptor, _live=live, _hard=hard)
+        except BaseException as fault:
+            os.close(lock)  # a damaged folder is set aside, and its place used again
+            if isinstance(fault, OSError):
+                raise StoreError(f"{folder}: {fault.strerror}") from None
+            raise
+        made = cls(
+            folder, disk, found, path, number, sync, _file=descriptor, _live=live, _hard=hard, _guard=lock
+        )
         made._snapshot, made.size = found.snapshot, path.stat().st_size
         return made
 
@@ -197,6 +208,7 @@
         """Let go of the file."""
         if self._file >= 0:
             os.close(self._file)
+            os.close(self._guard)
             self._file = -1
 
 
@@ -224,6 +236,17 @@
         os.close(folder)
 
 
+def _lock(folder: Path) -> int:
+    """Held as long as the process lives: guards against a second one that promises on the same disk."""
+    descriptor = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(descriptor)
+        raise StoreError(f"{folder}: another process uses it") from None
+    return descriptor
+
+
 def _identity(folder: Path, sync: Callable[[int], None]) -> str:
     path = folder / "identity"
     if path.exists():
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -13,6 +13,7 @@
 from harriertide.core import events as ev
 from harriertide.decide import api
 from harriertide.decide.rules import NEVER_RAN, NO_LIFE, Scheduler
+from harriertide.decide.state import Cell
 
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
 # could not be written this soon after it was decided (a slow connection) goes back as never sent.
@@ -94,6 +95,17 @@
         """Requests without a final answer."""
         return sum(not taken.answered for taken in self._taken.values())
 
+    def learned(self) -> dict[str, float]:
+        """What nodes under pressure do by now, units a second, as the decision module has learned it."""
+        cells: dict[int, Cell] = getattr(self._scheduler, "_cells", {})
+        return {
+            node.id: cell.capacity / len(cell.nodes)
+            for cell in cells.values()
+            if cell.tight
+            for node in cell.nodes.values()
+            if node.live
+        }
+
     def out_at(self, node: str) -> int:
         """Attempts that are out at a node, those that were not written yet included."""
         return sum(taken.out >= 0 and taken.node == node for taken in self._taken.values())
--- a/harriertide/lab/fleet.py
+++ b/harriertide/lab/fleet.py
@@ -113,6 +113,10 @@
         """Attempts that are out there."""
         return self.open[node]
 
+    def learned(self) -> dict[str, float]:
+        """Nothing is under pressure here."""
+        return {}
+
     def owed(self) -> int:
         """All of them."""
         return sum(self.open.values())
--- a/harriertide/maintenance/planner.py
+++ b/harriertide/maintenance/planner.py
@@ -115,7 +115,11 @@
     # --- what machines do -----------------------------------------------------------------------------
 
     def units(self, machine: Machine, facts: Facts) -> float:
-        """What one does a second: as stated, as learned, or as the others; 0 while no one's is known."""
+        """What one does a second: as stated, as learned, or as the others; 0 while no one's is known.
+
+        Brokers report what is learned while a box is under pressure, and only then: older figures say how
+        much came, not how much it can do, and would hold up orders for ever.
+        """
         if machine.units:
             return machine.units
         learned = facts.units.get(machine.name, 0.0)
--- a/harriertide/upkeep/member.py
+++ b/harriertide/upkeep/member.py
@@ -134,6 +134,7 @@
         self._transport = outside.carrier(self._hear)
         self._works: list[ev.Persist] = []
         self._work = asyncio.Event()
+        self._writing = asyncio.Lock()  # held while the store's thread is at work
         self._tasks: list[asyncio.Task[None]] = []
         self._rounds: dict[int, tuple[int, dict[str, int]]] = {}
         self._folder = folder
@@ -211,8 +212,9 @@
         if self.leads:
             self.hand_over()
             await until(asyncio.get_running_loop().time() + 0.1)
-        for task in self._tasks:
-            task.cancel()
+        async with self._writing:  # guards against a file that is closed under a write
+            for task in self._tasks:
+                task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._transport.close()
         for waiting in self._waiting.values():
@@ -503,7 +505,8 @@
                 continue
             begun = loop.time()
             try:
-                await self._outside.write(partial(self.store.write, works))
+                async with self._writing:
+                    await self._outside.write(partial(self.store.write, works))
             except StoreError as fault:
                 log(
                     "the disk refused; this broker is out of the agreement until it is started again",
--- a/harriertide/upkeep/service.py
+++ b/harriertide/upkeep/service.py
@@ -69,6 +69,9 @@
     def out_at(self, node: str) -> int:
         """Attempts that are out there."""
 
+    def learned(self) -> dict[str, float]:
+        """What nodes under pressure do by now."""
+
     def owed(self) -> int:
         """Requests without a final answer."""
 
@@ -245,7 +248,9 @@
                 self._away[name] = number, now
             if number >= LIFELESS and now - self._away[name][1] < STALE_US:
                 failed[name] = 1
-        return Report(broker.name, 0, broker.course.applied, mine, lives, known, clear, load, failed=failed)
+        units = {name: round(rate, 2) for name, rate in self.core.learned().items() if rate}
+        applied = broker.course.applied
+        return Report(broker.name, 0, applied, mine, lives, known, clear, load, units, failed)
 
     def _granted(self, asked: tuple[int, dict[str, int]]) -> None:
         """As leader: a majority has confirmed it; whose reports were in that round holds a lease from them
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -241,3 +241,27 @@
     core = Reducer(LONE, 1, Scripted([send()]))
     core.step(START_US, [HELD, arrival()])
     assert core.may_write("r", 0, START_US + 2 * LIMIT_WRITE_US) is None
+
+
+def test_what_boxes_do_is_known_of_those_under_pressure_alone() -> None:
+    """For maintenance: rates of calm boxes say how much came."""
+    core = Reducer(LONE, 1)
+    core.step(START_US, [HELD])
+    assert core.learned() == {}
+    cell = core._scheduler._cells[0]  # type: ignore[attr-defined]
+    cell.learned, cell.capacity = True, 30.0
+    assert core.learned() == {}
+    cell.pressed = True
+    assert core.learned() == {"n0": 30.0}
+
+
+def test_signs_of_life_are_counted_for_nodes_on_the_list_where_somebody_asks() -> None:
+    for barred in (None, lambda node: False):
+        core = Reducer(LONE, 1, Scripted((), [send()]))
+        core.barred = barred
+        core.step(START_US, [HELD])
+        core.step(START_US, [arrival()])
+        core.step(START_US + 1_000, [ev.Ended("r", 0, "connect_failed", None)])
+        assert core.lifeless == ({} if barred is None else {"n0": 2})
+        core.step(START_US + 2_000, [ev.Listed(api.NodeList("changes", (api.NodeEntry("n0", 0, "gone"),)))])
+        assert not core.lifeless
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -29,6 +29,13 @@
     return store.path
 
 
+def look(folder: Path) -> ev.Restored:
+    """What a start finds."""
+    store = Store.open(folder)
+    store.close()
+    return store.found
+
+
 def snapshot(index: int, data: bytes = b"state") -> Snapshot:
     import xxhash
 
@@ -46,7 +53,7 @@
     assert again.found == ev.Restored("c", 3, None, None, entries(1, 3) + entries(4, 6, 3))
     again.write([ev.Persist(3, "c", 3, ME, 0, (), snapshot(5))])
     again.close()
-    last = Store.open(tmp_path / "d").found
+    last = look(tmp_path / "d")
     assert last.snapshot == snapshot(5) and last.entries == entries(6, 6, 3) and last.vote == ME
     assert Store.open(tmp_path / "other").disk != store.disk
 
@@ -58,11 +65,11 @@
     data = path.read_bytes()
     for length in range(whole, len(data)):
         path.write_bytes(data[:length])
-        found = Store.open(tmp_path / "d").found
+        found = look(tmp_path / "d")
         assert [e.index for e in found.entries] == [1, 2]
         assert path.stat().st_size == whole
     path.write_bytes(data + b"\x00" * 300)  # room that the file system made, and nothing in it
-    assert len(Store.open(tmp_path / "d").found.entries) == 3
+    assert len(look(tmp_path / "d").entries) == 3
 
 
 def test_a_flipped_bit_anywhere_in_what_was_promised_stops_the_member(tmp_path: Path) -> None:
@@ -72,7 +79,7 @@
     for at in range(len(data)):
         path.write_bytes(data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1 :])
         try:
-            found = Store.open(tmp_path / "d").found
+            found = look(tmp_path / "d")
         except DamagedError as fault:
             assert str(path) in str(fault) and "\n" not in str(fault)
         else:
@@ -101,7 +108,7 @@
     with pytest.raises(DamagedError, match="identity"):
         Store.open(tmp_path / "d")
     aside = set_aside(tmp_path / "d")
-    assert Store.open(tmp_path / "d").found == ev.Restored() and (aside / "log-1").exists()
+    assert look(tmp_path / "d") == ev.Restored() and (aside / "log-1").exists()
 
 
 @pytest.mark.parametrize("number", [errno.EIO, errno.ENOSPC])
@@ -123,12 +130,21 @@
         store.write([ev.Persist(3, "c", 1, None, 0, entries(3, 3))])
 
 
+def test_a_second_process_on_one_folder_is_refused(tmp_path: Path) -> None:
+    store = Store.open(tmp_path / "d")
+    with pytest.raises(StoreError, match="another process uses it"):
+        Store.open(tmp_path / "d")
+    store.close()
+    Store.open(tmp_path / "d").close()
+
+
 def test_several_writes_that_wait_share_one_sync(tmp_path: Path) -> None:
     syncs: list[int] = []
     store = Store.open(tmp_path / "d", syncs.append)
     syncs.clear()
     store.write([ev.Persist(i, "c", 1, None, 0, entries(i, i)) for i in range(1, 65)])
-    assert len(syncs) == 1 and len(Store.open(tmp_path / "d").found.entries) == 64
+    store.close()
+    assert len(syncs) == 1 and len(look(tmp_path / "d").entries) == 64
 
 
 def test_the_log_is_rewritten_once_a_snapshot_covers_it(
@@ -145,7 +161,7 @@
     names = sorted(path.name for path in (tmp_path / "d").iterdir())
     assert len([n for n in names if n.startswith("log-")]) == 1 and "log-1" not in names
     assert len([n for n in names if n.startswith("snapshot-")]) <= 2
-    found = Store.open(tmp_path / "d").found
+    found = look(tmp_path / "d")
     assert found.snapshot is not None and found.snapshot.index == 196 and found.vote == ME
     assert [e.index for e in found.entries] == [197, 198, 199, 200]
 
@@ -186,8 +202,10 @@
         for name in calls:
             monkeypatch.setattr(os, name, counted(name))
         promised = 0
+        opened: list[Store] = []
         try:
             store = Store.open(folder, lambda descriptor: None)
+            opened.append(store)
             for index in range(1, 13):
                 store.write([ev.Persist(2 * index, "c", 1, ME, 0, entries(index, index, size=30))])
                 promised = index
@@ -198,6 +216,8 @@
         finally:
             for name, call in calls.items():
                 monkeypatch.setattr(os, name, call)
+            for store in opened:
+                store.close()  # as the end of its process does
         return done[0], promised
 
     steps, _ = course(tmp_path / "whole", 10_000)
@@ -205,6 +225,6 @@
     for most in range(steps):
         folder = tmp_path / f"d{most}"
         _, promised = course(folder, most)
-        found = Store.open(folder).found
+        found = look(folder)
         last = found.entries[-1].index if found.entries else (found.snapshot.index if found.snapshot else 0)
         assert last >= promised, f"killed at step {most}"
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -271,6 +271,25 @@
     assert played(tmp_path, body).finished == 1
 
 
+def test_a_box_that_comes_back_cold_counts_as_what_it_bears(tmp_path: Path) -> None:
+    """Four boxes of 0.42 units a second, 1.1 due: while the first is cold the second waits."""
+    labels = {f"x{n}": "units = 0.42" for n in range(1, 5)}
+
+    async def body(rig: Rig) -> None:
+        await request(rig, ["x1", "x2"], at_once=2)
+        await phase(rig, "x1", "out")
+        waits = (await status(rig))["orders"][0]["steps"][1]
+        assert waits["phase"] == "waiting" and "units a second would be left" in str(waits["waits"])
+        await rig.ask(0, "POST", "/maintenance/done", {"machine": "x1"})
+        await phase(rig, "x1", "returning")
+        begun = time.monotonic()
+        await phase(rig, "x2", "permitted", "draining", "out")
+        assert time.monotonic() - begun > 0.5
+        await finish(rig)
+
+    assert played(tmp_path, body, at_once=2, labels=labels, cold_s=3).finished == 1
+
+
 def test_a_rolling_restart_of_all_brokers_by_their_own_order_under_load(tmp_path: Path) -> None:
     async def body(rig: Rig) -> None:
         load = asyncio.ensure_future(writes(rig, list(range(5))))
