--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -519,3 +519,20 @@
     assert (
         made.maintenance is not None and made.maintenance.lease_ms == 3_000 and made.maintenance.blind_s == 0
     )
+
+
+def test_the_example_under_deploy_and_the_page_for_operators_can_be_used() -> None:
+    import re
+    import tomllib
+
+    root = Path(__file__).parent.parent
+    made = model.load(str(root / "deploy" / "maintenance.toml"))
+    assert made.maintenance is not None and set(made.maintenance.labels) == {"box-1", "box-2"}
+    page = (root / "docs" / "operators" / "maintenance.md").read_text()
+    blocks = [
+        "\n".join(row[4:] for row in b.splitlines()) for b in re.findall(r"((?:^    .*\n|^\n)+)", page, re.M)
+    ]
+    order_text = next(block for block in blocks if "order =" in block)
+    machines = {"box-9": Machine("box-9", "box", zone="a"), "box-1": Machine("box-1", "box", zone="a")}
+    found = read_order(tomllib.loads(order_text), machines, 1.0)
+    assert found.machines == ("box-1", "box-9") and found.first == ("box-9",)
