--- a/harriertide/lab/bench_upkeep.py
+++ b/harriertide/lab/bench_upkeep.py
@@ -72,9 +72,10 @@
         boxes = [box.name for box in rig.boxes]
         if how == "none":
             await until(loop.time() + 15.0)
-        elif how == "agreed":
+        elif how.startswith("agreed"):
             await run.request("boxes", boxes, at_once=2, takes_s=TAKES_S)
-            await run.request("brokers", rig.names, takes_s=TAKES_S)
+            if how == "agreed":
+                await run.request("brokers", rig.names, takes_s=TAKES_S)
             await run.operate(begun + 90.0)
         else:
             step = 1 if how == "one at a time" else BOXES // 2
@@ -107,8 +108,8 @@
 
 
 def work(rounds: int, rate: float) -> dict[str, Any]:
-    """In turn: none, agreed, one at a time, a group of half the boxes at once."""
-    hows = ("none", "agreed", "one at a time", "half at once")
+    """In turn: none, agreed (boxes and brokers; boxes), boxes one at a time by hand, half of them at once."""
+    hows = ("none", "agreed", "agreed, boxes", "one at a time", "half at once")
     rows: dict[str, list[dict[str, float]]] = {how: [] for how in hows}
     for number in range(rounds):
         for how in hows:
--- a/harriertide/upkeep/service.py
+++ b/harriertide/upkeep/service.py
@@ -172,6 +172,7 @@
                 if self._seen.get(name, (now, 0))[0] != now or name not in self._seen:
                     self._seen[name] = now, self.broker.now_us()
                     self.broker.fan.hurry()
+                    self._look_us = 0
                     self.events.say(
                         "step", order=step.order, machine=step.machine, phase=step.phase, fence=step.fence,
                         index=self.broker.course.applied,
@@ -278,6 +279,7 @@
                 mine.setdefault(fence, set()).update(who)
             for fence in [f for f in mine if f not in fences]:
                 del mine[fence]
+        self._look_us = 0  # what the next step waits for may have come
         facts.since_us = {name: at for name, at in facts.since_us.items() if name[0] in fences}
         state, due = self._boxes.state, 0.0
         for volume in state["volumes"].values():
