Draw all ports of a rig at once, apart from those of rigs beside it

Seen: one test of 659 failed in a fresh clone: broker b3 could not bind 14350, which its own rig had drawn twice (fronts, admins and agreement were drawn one after another). No rule was at fault; drawn in one call, by process, they do not meet.

--- a/harriertide/lab/rig.py
+++ b/harriertide/lab/rig.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import json
+import os
 import shutil
 import signal
 import socket
@@ -207,8 +208,12 @@
         self.names = [f"b{place + 1}" for place in range(brokers)]
         self.boxes = [Box(self, f"x{place + 1}", took_s) for place in range(boxes)]
         self.labels, self.direct = labels or {}, direct  # direct: no relays
-        self.ports = _ports(brokers)
-        self.fronts, self.admins = _ports(brokers), _ports(brokers)
+        ports = _ports(3 * brokers)
+        self.ports, self.fronts, self.admins = (
+            ports[:brokers],
+            ports[brokers : 2 * brokers],
+            ports[2 * brokers :],
+        )
         self.links = {(a, b): Link(self, a, b) for a in range(brokers) for b in range(brokers) if a != b}
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.stopped: set[int] = set()
@@ -438,14 +443,15 @@
 def _ports(number: int) -> list[int]:
     """Ports that are free by now, under those that the system gives to connections: one that a broker has
     left for a moment must not be taken by somebody's connection."""
-    random = SystemRandom()
+    first = 12_000 + os.getpid() % 40 * 500  # rigs of processes beside each other do not meet
     found: list[int] = []
     with ExitStack() as stack:
-        while len(found) < number:
+        for port in SystemRandom().sample(range(first, first + 500), 500):
             held = stack.enter_context(socket.socket())
             held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            port = random.randrange(12_000, 32_000)
             with suppress(OSError):
                 held.bind((HOST, port))
                 found.append(port)
+            if len(found) == number:
+                break
     return found
