Count as granted who was in the confirmed round, and begin numbers of reports anywhere

The leader noted whom it had granted a lease by what its children said when the round was confirmed, up to 2 s after it was taken: a broker that fell silent in between had its grant all the same, and its lease was counted as over too soon. The round now keeps who was in it. And numbers of reports began at 0 in each process: a grant for the last process, held in a queue, could be taken for one of this. They begin anywhere. A leader that loses and wins a term within one look starts its facts anew, by the term.

--- a/harriertide/consensus/fanout.py
+++ b/harriertide/consensus/fanout.py
@@ -99,6 +99,19 @@
             self.failed[name] = self.failed.get(name, 0) + number
 
 
+@dataclass(frozen=True, slots=True)
+class Round:
+    """What was there as the leader asked for a read index, and is granted when a majority has confirmed it.
+
+    alive: who may hold a lease by it. Not as seen at the confirmation: one that fell silent in between has
+    its grant all the same.
+    """
+
+    at_us: int
+    numbers: dict[str, int]
+    alive: set[int]
+
+
 @dataclass(slots=True)
 class _Child:
     report: Report
@@ -114,7 +127,13 @@
     """One broker's place in the tree."""
 
     def __init__(
-        self, me: str, brokers: tuple[str, ...], voters: tuple[str, ...], lease_us: int, now_us: int
+        self,
+        me: str,
+        brokers: tuple[str, ...],
+        voters: tuple[str, ...],
+        lease_us: int,
+        now_us: int,
+        first: int = 0,
     ) -> None:
         self.me, self.brokers, self.voters, self.lease_us = me, brokers, voters, lease_us
         self.place = {name: place for place, name in enumerate(brokers)}
@@ -125,7 +144,9 @@
         self.children: dict[str, _Child] = {}
         self.lease_end_us = 0  # 0: never had one
         self._grant: tuple[int, int] = (0, 0)  # the end that a grant gives, once this index is applied
-        self._number = 0
+        # Numbers begin anywhere: guards against a grant for a report of this broker's last process, still on
+        # its way, that is taken for one of a report of this process.
+        self._number = first
         self._sent: dict[int, tuple[int, dict[str, int]]] = {}  # own reports: when, with which of children
         self._next_us = now_us
         self._heard_us = now_us
@@ -211,17 +232,18 @@
         )  # fmt: skip
         return to, said
 
-    def round(self, now_us: int) -> tuple[int, dict[str, int]]:
+    def round(self, now_us: int) -> Round:
         """As leader: what a read index that is asked for now will grant."""
-        return now_us, {name: child.report.number for name, child in self._fresh(now_us).items()}
+        children = self._fresh(now_us)
+        alive = {self.place[self.me]}.union(*(places(child.report.alive) for child in children.values()))
+        return Round(now_us, {name: child.report.number for name, child in children.items()}, alive)
 
     # --- grants ---------------------------------------------------------------------------------------
 
-    def confirm(self, asked: tuple[int, dict[str, int]], index: int) -> None:
+    def confirm(self, asked: Round, index: int) -> None:
         """As leader: a majority has confirmed it after this round was taken."""
-        began_us, numbers = asked
-        self._take(began_us, index)
-        self._grant_children(numbers, index)
+        self._take(asked.at_us, index)
+        self._grant_children(asked.numbers, index)
 
     def hear_feed(self, now_us: int, feed: Feed) -> None:
         """From the parent."""
--- a/harriertide/upkeep/member.py
+++ b/harriertide/upkeep/member.py
@@ -18,7 +18,7 @@
 
 from harriertide.consensus import events as ev
 from harriertide.consensus.events import Tuning
-from harriertide.consensus.fanout import ENTRIES, FEED_BYTES, REPORT_US, Fan, Feed, Report
+from harriertide.consensus.fanout import ENTRIES, FEED_BYTES, REPORT_US, Fan, Feed, Report, Round
 from harriertide.consensus.follower import Follower
 from harriertide.consensus.messages import Member, Message, Proposal
 from harriertide.consensus.replica import (
@@ -136,11 +136,12 @@
         self._work = asyncio.Event()
         self._writing = asyncio.Lock()  # held while the store's thread is at work
         self._tasks: list[asyncio.Task[None]] = []
-        self._rounds: dict[int, tuple[int, dict[str, int]]] = {}
+        self._rounds: dict[int, Round] = {}
         self._folder = folder
         self.halted = ""
         self.waits: dict[str, list[str]] = {}  # as the leader told it last
-        self.fan = Fan(name, tuple(brokers), voters, lease_us, self.now_us())
+        first = outside.random.getrandbits(48)
+        self.fan = Fan(name, tuple(brokers), voters, lease_us, self.now_us(), first)
         self.replica: Replica | None = None
         self.follower: Follower | None = None
         self._calls: dict[int, tuple[Proposal, int, float]] = {}  # as a follower: again when, until when
@@ -172,6 +173,11 @@
         """Whether this broker leads, as far as it knows."""
         return self.replica is not None and self.replica.node.leads
 
+    @property
+    def led(self) -> int:
+        """The term in which it leads, 0 where it does not."""
+        return self.replica.node.term if self.replica is not None and self.replica.node.leads else 0
+
     @property
     def leader(self) -> str:
         """Whom it takes for the leader; "" for nobody."""
@@ -483,7 +489,7 @@
             self.granted(asked)
             self._feed(self.now_us())
 
-    granted: Callable[[tuple[int, dict[str, int]]], None] = staticmethod(lambda asked: None)
+    granted: Callable[[Round], None] = staticmethod(lambda asked: None)
 
     def _noted(self, effect: ev.Noted) -> None:
         self.counts[effect.what.replace(" ", "_")] += 1
--- a/harriertide/upkeep/service.py
+++ b/harriertide/upkeep/service.py
@@ -20,7 +20,7 @@
 
 from harriertide.config.model import Maintenance, State
 from harriertide.consensus.events import Tuning
-from harriertide.consensus.fanout import Report, Sums, bits, places
+from harriertide.consensus.fanout import Report, Round, Sums, bits
 from harriertide.decide import api
 from harriertide.engine.log import log
 from harriertide.maintenance import orders, view
@@ -110,7 +110,7 @@
         self._shut: frozenset[str] | None = frozenset()
         self._started_us: dict[str, int] = {}
         self._began_us = self.broker.now_us()
-        self._led = False
+        self._led = 0  # the term in which it leads, as far as is seen here; 0: it does not
         self._look_us = 0
         self._proposed: dict[bytes, int] = {}  # what is on its way, so that one look does not repeat another
         self._tasks: set[asyncio.Task[None]] = set()
@@ -145,8 +145,9 @@
             now = self.broker.now_us()
             self._look_at(now)
             self._measure(now)
-            if self.broker.leads != self._led:
-                self._led = self.broker.leads
+            led = self.broker.led
+            if led != self._led:
+                self._led = led
                 self.facts = Facts(led_us=now)
                 self._proposed.clear()
             if self._led and now >= self._look_us:
@@ -253,18 +254,12 @@
         applied = broker.course.applied
         return Report(broker.name, 0, applied, mine, lives, known, clear, load, units, failed)
 
-    def _granted(self, asked: tuple[int, dict[str, int]]) -> None:
-        """As leader: a majority has confirmed it; whose reports were in that round holds a lease from them
-        on."""
+    def _granted(self, asked: Round) -> None:
+        """As leader: a majority has confirmed it; who was in that round holds a lease from its report on."""
         broker, now = self.broker, self.broker.now_us()
         found: Sums = broker.fan.sums(now, self._own(broker))
         facts = self.facts
-        alive: set[int] = {broker.fan.place[broker.name]}
-        for name in asked[1]:
-            child = broker.fan.children.get(name)
-            if child is not None:
-                alive |= places(child.report.alive)
-        for place in alive:
+        for place in asked.alive:
             facts.granted_us[place] = now
         facts.alive, facts.load, facts.units, facts.failed = (
             found.alive,
