Work out what is barred when it changes, not at each write, and bound the forecast

At each write the broker walked all steps of all orders, and 40 times a second beside it; what is barred changes with the log and with the lease, and the time of that is known (view.changes_us, written and not used): it is worked out then, and at a write only where that time is past. A forecast stepped a quarter of the shortest time through up to 30 days on the loop that serves requests; it goes from event to event now, some 8 looks a machine. Failures were timed by the wall's clock, which jumps. What machines wait for went whole with every grant: those under way go, and the next of each order. Written twice and now once: scripts of faults, ports, addresses. Unused: a second tuning, two planted faults. A box on its way back was told as warm for a moment.

--- a/harriertide/consensus/node.py
+++ b/harriertide/consensus/node.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import replace
 from random import Random
 from statistics import median
 from typing import Any
@@ -796,13 +795,3 @@
 def decode_members(data: bytes) -> Members:
     """As an entry carries them."""
     return msgpack.decode(data, type=Members)
-
-
-def quick(tuning: Tuning, factor: int) -> Tuning:
-    """All times of a tuning by a factor, for tests on slow machines."""
-    return replace(
-        tuning,
-        heartbeat_us=tuning.heartbeat_us * factor,
-        patience_us=tuning.patience_us * factor,
-        most_patience_us=tuning.most_patience_us * factor,
-    )
--- a/harriertide/lab/planted.py
+++ b/harriertide/lab/planted.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from harriertide.consensus import events as ev
-from harriertide.consensus.messages import Entry, Member, Members, Message, Snapshot
+from harriertide.consensus.messages import Members, Message
 from harriertide.consensus.node import Node, encode_members
 
 
@@ -38,28 +38,9 @@
                 self._advance()
 
 
-class SameNameAnyDisk(Node):
-    """With a disk that calls itself as the lost one did: see `same_disk` of the search."""
-
-
-class ForgetsCut(Node):
-    """Writes entries in place of others without cutting those behind off the disk."""
-
-    def _persist(
-        self,
-        term: bool = False,
-        cut: int = 0,
-        entries: tuple[Entry, ...] = (),
-        snapshot: Snapshot | None = None,
-    ) -> None:
-        super()._persist(term, 0, entries, snapshot)
-
-
 PLANTS: dict[str, type[Node]] = {
     "vote-not-synced": VotesBeforeSync,
     "earlier-term-by-count": CommitsEarlierTerms,
     "two-majorities": ChangesAtOnce,
-    "empty-disk-votes": SameNameAnyDisk,
+    "empty-disk-votes": Node,  # as it is; the disk calls itself as the lost one did
 }
-
-__all__ = ["PLANTS", "ForgetsCut", "Member"]
--- a/harriertide/lab/processes.py
+++ b/harriertide/lab/processes.py
@@ -39,8 +39,8 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.engine.clock import until
+from harriertide.lab.script import HOST, Fault, load, ports
 
-HOST = "127.0.0.1"
 LIMIT, BURST, MOST, SLACK = 20.0, 24.0, 3, 6.0
 LATE_S = 0.15  # what the limit allows in so long is slack too, on sockets
 AIM_MS, DEADLINE_MS = 300, 900
@@ -73,22 +73,10 @@
 
 # --- the script ------------------------------------------------------------------------------------
 
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """At a moment of the load, a verb with the brokers that it is about.
-
-    kill (back after for_s), pause (SIGSTOP, for for_s), term (back after it has ended), cut (datagrams from
-    a to b, for for_s), lose (this part of all datagrams from now on), box (a broker's way to the box is
-    silent for for_s, then reset).
-    """
-
-    at_s: float
-    verb: str
-    a: int = 0
-    b: int = 0
-    for_s: float = 0.0
-    part: float = 0.0
+# kill (back after for_s); pause (SIGSTOP, for for_s); term (back after it has ended); cut (datagrams from a
+# to b, for for_s); lose (this part of all datagrams from now on); box (a broker's way to the box is silent for
+# for_s, then reset)
+VERBS = ("kill", "pause", "term", "cut", "lose", "box")
 
 
 def draw(seed: int, brokers: int, seconds: float, lost: float) -> list[Fault]:
@@ -106,22 +94,6 @@
     return faults
 
 
-def load_script(path: str, brokers: int) -> list[Fault]:
-    """A script as it was written; PlainError names what is off."""
-    try:
-        faults = [Fault(**row) for row in json.loads(Path(path).read_text(encoding="utf-8"))]
-    except OSError as fault:
-        raise PlainError(f"--script: {path}: {fault.strerror}") from None
-    except (ValueError, TypeError) as fault:
-        raise PlainError(f"--script: {path}: {fault}") from None
-    for row in faults:
-        if row.verb not in ("kill", "pause", "term", "cut", "lose", "box"):
-            raise PlainError(f"--script: {row.verb}: no such verb")
-        if not (0 <= row.a < brokers and 0 <= row.b < brokers):
-            raise PlainError(f"--script: there is no broker {max(row.a, row.b)}")
-    return faults
-
-
 # --- links -----------------------------------------------------------------------------------------
 
 
@@ -231,7 +203,7 @@
     def __init__(self, folder: Path, brokers: int, seed: int) -> None:
         self.folder, self.number, self.random, self.made = folder, brokers, Random(seed), 0
         self.brokers: dict[int, asyncio.subprocess.Process] = {}
-        self.fronts, listens = _ports(brokers, socket.SOCK_STREAM), _ports(brokers, socket.SOCK_DGRAM)
+        self.fronts, listens = ports(brokers), ports(brokers, socket.SOCK_DGRAM)
         self.links = Links(seed, listens)
         self.logs: dict[str, IO[str]] = {}
         self.begun = 0.0
@@ -381,15 +353,6 @@
             said.close()
 
 
-def _ports(number: int, kind: socket.SocketKind) -> list[int]:
-    """Ports that are free by now."""
-    with ExitStack() as stack:
-        held = [stack.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(number)]
-        for each in held:
-            each.bind((HOST, 0))
-        return [int(each.getsockname()[1]) for each in held]
-
-
 async def _http(port: int, text: str) -> int:
     """One request on a connection of its own; the status of its answer."""
     reader, writer = await asyncio.open_connection(HOST, port)
@@ -474,7 +437,7 @@
     if not 2 <= brokers <= 8 or not 6 <= seconds <= 600:
         raise PlainError("--brokers from 2 to 8, --seconds from 6 to 600")
     drawn = draw(seed, brokers, seconds, float(given["--lost"]))
-    faults = load_script(given["--script"], brokers) if given["--script"] else drawn
+    faults = load(given["--script"], brokers, VERBS) if given["--script"] else drawn
     with ExitStack() as stack:
         folder = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
--- a/harriertide/lab/rig.py
+++ b/harriertide/lab/rig.py
@@ -12,17 +12,15 @@
 
 import asyncio
 import json
-import os
 import shutil
 import signal
-import socket
 import struct
 import sys
 import time
-from contextlib import ExitStack, suppress
-from dataclasses import asdict, dataclass
+from contextlib import suppress
+from dataclasses import asdict
 from pathlib import Path
-from random import Random, SystemRandom
+from random import Random
 from typing import IO, Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
@@ -30,28 +28,16 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.engine.clock import until
+from harriertide.lab.script import HOST, Fault, ports
 
-HOST = "127.0.0.1"
 READY_S = 15.0
+# a is the broker, or the link from a to b; frames: this part lost, late, doubled and put behind, from now on
 VERBS = (
     "kill", "pause", "term", "lose-disk", "cut", "apart", "reset", "deaf", "slow-sync", "sync-fails",
     "disk-full", "jump", "frames",
 )  # fmt: skip
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """A verb, the brokers that it is about, and for how long. frames: part lost, late, doubled and put
-    behind."""
-
-    at_s: float
-    verb: str
-    a: int = 0
-    b: int = 0
-    for_s: float = 0.0
-    part: float = 0.0
-
-
 def draw(
     seed: int, brokers: int, seconds: float, gap_s: float = 1.5, verbs: tuple[str, ...] = VERBS
 ) -> list[Fault]:
@@ -74,20 +60,6 @@
     return faults
 
 
-def load_script(path: str, brokers: int) -> list[Fault]:
-    """A script as it was written; PlainError names what is off."""
-    try:
-        faults = [Fault(**row) for row in json.loads(Path(path).read_text(encoding="utf-8"))]
-    except (OSError, ValueError, TypeError) as off:
-        raise PlainError(f"--script: {path}: {off}") from None
-    for fault in faults:
-        if fault.verb not in VERBS or not (0 <= fault.a < brokers and 0 <= fault.b < brokers):
-            raise PlainError(
-                f"--script: {fault.verb} of brokers {fault.a} and {fault.b}: there is no such thing"
-            )
-    return faults
-
-
 # --- links --------------------------------------------------------------------------------------------
 
 
@@ -208,12 +180,8 @@
         self.names = [f"b{place + 1}" for place in range(brokers)]
         self.boxes = [Box(self, f"x{place + 1}", took_s) for place in range(boxes)]
         self.labels, self.direct = labels or {}, direct  # direct: no relays
-        ports = _ports(3 * brokers)
-        self.ports, self.fronts, self.admins = (
-            ports[:brokers],
-            ports[brokers : 2 * brokers],
-            ports[2 * brokers :],
-        )
+        free = ports(3 * brokers)
+        self.ports, self.fronts, self.admins = (free[n * brokers : (n + 1) * brokers] for n in range(3))
         self.links = {(a, b): Link(self, a, b) for a in range(brokers) for b in range(brokers) if a != b}
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.stopped: set[int] = set()
@@ -438,20 +406,3 @@
             log.close()
         for said in self._said:
             said.close()
-
-
-def _ports(number: int) -> list[int]:
-    """Ports that are free by now, under those that the system gives to connections: one that a broker has
-    left for a moment must not be taken by somebody's connection."""
-    first = 12_000 + os.getpid() % 40 * 500  # rigs of processes beside each other do not meet
-    found: list[int] = []
-    with ExitStack() as stack:
-        for port in SystemRandom().sample(range(first, first + 500), 500):
-            held = stack.enter_context(socket.socket())
-            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            with suppress(OSError):
-                held.bind((HOST, port))
-                found.append(port)
-            if len(found) == number:
-                break
-    return found
--- a/harriertide/lab/upkeep.py
+++ b/harriertide/lab/upkeep.py
@@ -36,7 +36,8 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.engine.clock import until
-from harriertide.lab.rig import Fault, Rig, draw, load_script
+from harriertide.lab.rig import VERBS, Rig, draw
+from harriertide.lab.script import Fault, load
 
 AT_ONCE = {"boxes": 2, "brokers": 1}
 END_S = 60.0  # after all was healed
@@ -297,7 +298,7 @@
         kept = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
         for number in range(seed, seed + runs):
             script = given["--script"]
-            faults = load_script(script, brokers) if script else draw(number, brokers, seconds)
+            faults = load(script, brokers, VERBS) if script else draw(number, brokers, seconds)
             folder = kept / f"run-{number}"
             groups, _ = asyncio.run(play(folder, number, brokers, boxes, seconds, faults))
             verdict = judge(folder, groups, AT_ONCE)
--- a/harriertide/maintenance/planner.py
+++ b/harriertide/maintenance/planner.py
@@ -32,7 +32,7 @@
 HEADROOM = 1.1  # what must be left over what is due
 COLD_PART = 0.3  # of its rate that a machine bears as it comes back; it grows to all of it within cold_s
 FAIL_PART = 0.5  # of the brokers that see a machine away
-FAIL_S = 1.0  # for so long
+FAIL_US = 1_000_000  # for so long
 LEFT_US = 1_000_000  # after a lease is over, beside the longest attempt: a write on its way when it ended
 
 
@@ -60,7 +60,7 @@
     load: float = 0.0  # what is due now, of all brokers
     reserve: float = 0.0  # what the grades' reserves are due
     failed: dict[str, int] = field(default_factory=dict)  # how many brokers see a machine away
-    failed_s: dict[str, float] = field(default_factory=dict)  # since when more than FAIL_PART do
+    failed_us: dict[str, int] = field(default_factory=dict)  # since when more than FAIL_PART do
     alive: set[int] = field(default_factory=set)
     since_us: dict[tuple[int, str], int] = field(default_factory=dict)  # since when it sees a step of a fence
 
@@ -74,7 +74,8 @@
 
     def __init__(self, upkeep: Upkeep, rules: Rules) -> None:
         self.upkeep, self.rules = upkeep, rules
-        self._order_turn: dict[str, float] = {}  # when each order last got a permit
+        self._turns = 0  # permits proposed
+        self._order_turn: dict[str, int] = {}  # which of them was the last of each order
 
     @property
     def state(self) -> State:
@@ -153,7 +154,7 @@
 
     def look(self, facts: Facts, now_us: int, now_s: float) -> list[Command]:
         """Commands to propose now. At most one new permit a look: what it changes is not in the state yet."""
-        found: list[Command] = [*self._failures(facts, now_s), *self._pattern(facts, now_s)]
+        found: list[Command] = [*self._failures(facts, now_us, now_s), *self._pattern(facts, now_s)]
         found += [
             move for step in self.upkeep.under_way() if (move := self._next(step, facts, now_us, now_s))
         ]
@@ -161,7 +162,7 @@
             found += self._permit(facts, now_us, now_s)
         return found
 
-    def _failures(self, facts: Facts, now_s: float) -> list[Command]:
+    def _failures(self, facts: Facts, now_us: int, now_s: float) -> list[Command]:
         found: list[Command] = []
         most = max(1, len(facts.alive))
         for name, machine in self.state.machines.items():
@@ -170,10 +171,12 @@
                 place = self.state.brokers.index(name) if name in self.state.brokers else -1
                 away = place >= 0 and place not in facts.alive and self.upkeep.step_of(name) is None
             if not away:
-                facts.failed_s.pop(name, None)
+                facts.failed_us.pop(name, None)
                 if name in self.state.failed and self.upkeep.step_of(name) is None:
                     found.append(Failed(name, False, now_s))
-            elif now_s - facts.failed_s.setdefault(name, now_s) >= FAIL_S and name not in self.state.failed:
+            elif (
+                now_us - facts.failed_us.setdefault(name, now_us) >= FAIL_US and name not in self.state.failed
+            ):
                 found.append(Failed(name, True, now_s))
         for name in self.state.gone:
             if name in self.state.brokers and self.state.brokers.index(name) in facts.alive:
@@ -222,7 +225,8 @@
         for order in self._orders():
             for name in self._machines(order):
                 if not self.why_not(name, order, facts, now_us, now_s):
-                    self._order_turn[order.id] = now_s
+                    self._turns += 1
+                    self._order_turn[order.id] = self._turns
                     return [Permit(name, order.id, now_s)]
         return []
 
@@ -234,7 +238,7 @@
         asked = self.state.asked_s
         return sorted(
             (order for order in self.state.orders.values() if self.upkeep.open(order.id)),
-            key=lambda o: (busy[o.id], self._order_turn.get(o.id, 0.0), asked[o.id], o.id),
+            key=lambda o: (busy[o.id], self._order_turn.get(o.id, 0), asked[o.id], o.id),
         )
 
     def _machines(self, order: Order) -> list[str]:
@@ -296,28 +300,44 @@
     copy.load(upkeep.dump())
     copy.state.orders[order.id], copy.state.asked_s[order.id] = order, now_s
     copy.state.steps[order.id] = {m: Step(m, order.id, since_s=now_s) for m in order.machines}
-    planner, at, idle = Planner(copy, rules), 0.0, 0
+    planner, at = Planner(copy, rules), 0.0
     found: list[tuple[float, str, float]] = []
-    every = set(range(len(copy.state.brokers)))
-    facts.alive, facts.failed = every, {}  # nothing more fails: a follower hears nothing of that anyhow
+    facts.alive, facts.failed = set(range(len(copy.state.brokers))), {}  # nothing more fails
     whole = planner.capacity(facts, 1)
-    step_s = max(0.1, min(order.takes_s, rules.cold_s or 1.0) / 4)
-    while copy.open(order.id) and at < 30 * 24 * 3600 and len(found) <= 4 * len(order.machines):
-        now_us = int(at * 1_000_000) + 1
+    # from event to event, and no more looks than all machines have steps: guards the broker that is asked,
+    # which serves requests on the same loop, against orders of days
+    looks = 8 * sum(len(rows) for rows in copy.state.steps.values())
+    while copy.open(order.id) and looks:
+        looks -= 1
+        now_us, moved = int(at * 1_000_000) + 1, False
+        copy.state.now_s = now_s + at
         for step in copy.under_way():
-            facts.known[step.fence] = facts.clear[step.fence] = every
+            facts.known[step.fence] = facts.clear[step.fence] = facts.alive
             if step.phase == "out" and facts.for_s(step, now_us) >= copy.state.orders[step.order].takes_s:
-                copy._take(Move(step.machine, step.fence, "returning", now_s + at))
-        copy.state.now_s = now_s + at
-        before = len(copy.under_way())
+                moved = (
+                    not copy.take(Move(step.machine, step.fence, "returning", now_s + at)).refused or moved
+                )
         for command in planner.look(facts, now_us, now_s + at):
-            if isinstance(command, (Permit, Move)):
-                copy._take(command)
+            if isinstance(command, (Permit, Move)) and not copy.take(command).refused:
+                moved = True
                 if isinstance(command, Permit) and command.order == order.id:
                     left = planner.capacity(facts, now_us) / whole if whole else -1.0
                     found.append((at, command.machine, left))
-        idle = 0 if before or copy.under_way() else idle + 1
-        if idle > 2:
-            break  # nothing can go: the caller sees which are missing
-        at += step_s
+        if not moved:
+            waits = [
+                _left_s(step, copy.state.orders[step.order], rules, facts, now_us)
+                for step in copy.under_way()
+            ]
+            if not waits:
+                break  # nothing can go: the caller sees which are missing
+            at += max(0.01, min(waits))
     return found
+
+
+def _left_s(step: Step, order: Order, rules: Rules, facts: Facts, now_us: int) -> float:
+    """How long a step lasts yet, if all goes well; one that comes back is worth more as it gets warmer."""
+    if step.phase == "out":
+        return order.takes_s - facts.for_s(step, now_us)
+    if step.phase == "returning":
+        return min(rules.cold_s - facts.for_s(step, now_us), max(0.1, rules.cold_s / 4))
+    return 0.0
--- a/harriertide/maintenance/state.py
+++ b/harriertide/maintenance/state.py
@@ -222,9 +222,10 @@
         command = _commands.decode(data)
         state = self.state
         state.now_s = command.at_s  # not the latest of all: a clock that jumped once would bind all others
-        return msgspec.msgpack.encode(self._take(command))
+        return msgspec.msgpack.encode(self.take(command))
 
-    def _take(self, command: Command) -> Answer:
+    def take(self, command: Command) -> Answer:
+        """A command, at the time that now_s says."""
         state = self.state
         if isinstance(command, Request):
             return self._request(command.order)
--- a/harriertide/upkeep/service.py
+++ b/harriertide/upkeep/service.py
@@ -9,7 +9,7 @@
 import json
 import time
 import tomllib
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
@@ -39,6 +39,7 @@
     encode,
     read_answer,
 )
+from harriertide.platform.peers import address
 from harriertide.upkeep.member import Broker, CallError, Events, Outside
 
 LOOK_US = 200_000
@@ -99,7 +100,7 @@
             1000 * settings.lease_ms, longest_us, 1_000_000 * settings.blind_s, float(settings.cold_s)
         )
         self.planner, self.facts = Planner(self.upkeep, self.rules), Facts()
-        addresses = {name: _address(row["address"]) for name, row in settings.brokers.items()}
+        addresses = {name: address(row["address"]) for name, row in settings.brokers.items()}
         voters = tuple(name for name, row in settings.brokers.items() if row["voter"] == "yes")
         self.events = Events(settings.events, time.monotonic)
         self.broker = Broker(
@@ -108,13 +109,14 @@
         )  # fmt: skip
         self.broker.granted = self._granted
         self._shut: frozenset[str] | None = frozenset()
+        self._lease_us = self._until_us = 0  # the lease that _shut goes by, and when time alone changes that
         self._started_us: dict[str, int] = {}
         self._began_us = self.broker.now_us()
         self._led = 0  # the term in which it leads, as far as is seen here; 0: it does not
         self._look_us = 0
         self._proposed: dict[bytes, int] = {}  # what is on its way, so that one look does not repeat another
         self._tasks: set[asyncio.Task[None]] = set()
-        self._window: list[tuple[int, float]] = []
+        self._window: deque[tuple[int, float]] = deque()
         self._leaving = False
         self._away: dict[str, tuple[int, int]] = {}  # lifeless attempts there, and since when
         self._seen: dict[tuple[str, str], tuple[tuple[str, int], int]] = {}
@@ -143,8 +145,8 @@
     async def _run(self) -> None:
         while True:
             now = self.broker.now_us()
-            self._look_at(now)
-            self._measure(now)
+            if self._lease_us != self.broker.fan.lease_end_us or (self._until_us and now >= self._until_us):
+                self._look_at(now)
             led = self.broker.led
             if led != self._led:
                 self._led = led
@@ -159,8 +161,10 @@
 
     def barred(self, node: str) -> bool:
         """Asked right before each write, by the clock of that moment."""
-        shut = self._may(self.broker.now_us())
-        return shut is None or node in shut
+        now = self.broker.now_us()
+        if self._until_us and now >= self._until_us:
+            self._look_at(now)  # a lease is over that nothing has looked at since: this process stood still
+        return self._shut is None or node in self._shut
 
     def _may(self, now: int) -> frozenset[str] | None:
         return view.shut(self.upkeep, now, self.broker.fan.lease_end_us, self.rules.blind_us)
@@ -182,8 +186,11 @@
         self._own_step()
 
     def _look_at(self, now: int) -> None:
+        lease = self.broker.fan.lease_end_us
+        self._lease_us, self._until_us = lease, view.changes_us(now, lease, self.rules.blind_us)
         shut = self._may(now)
-        if shut == self._shut and not self._returned():
+        returned = self._returned()
+        if shut == self._shut and not returned:
             return
         self._shut = shut
         said = ["*"] if shut is None else sorted(shut)
@@ -217,11 +224,13 @@
 
     # --- facts ----------------------------------------------------------------------------------------
 
-    def _measure(self, now: int) -> None:
-        """What came in the last window."""
+    def _load(self, now: int) -> float:
+        """Units a second that came in the last window, seen at each report."""
         self._window.append((now, self.core.offered_units))
         while now - self._window[0][0] > WINDOW_US:
-            self._window.pop(0)
+            self._window.popleft()
+        began, offered = self._window[0]
+        return (self.core.offered_units - offered) * 1_000_000 / max(1, now - began)
 
     def _own(self, broker: Broker) -> Report:
         """What this broker says of itself."""
@@ -238,10 +247,7 @@
                 done = done and self.core.owed() == 0
             if step.phase in ("draining", "out") and done and self.core.out_at(step.machine) == 0:
                 clear[step.fence] = mine
-        load, lives = 0.0, {}
-        if len(self._window) > 1:
-            began, offered = self._window[0]
-            load = (self.core.offered_units - offered) * 1_000_000 / max(1, now - began)
+        load, lives = self._load(now), {}
         if now - self._began_us < YOUNG_US or self.upkeep.step_of(broker.name) is not None:
             lives = {broker.name: broker.life}
         failed = {}
@@ -261,12 +267,8 @@
         facts = self.facts
         for place in asked.alive:
             facts.granted_us[place] = now
-        facts.alive, facts.load, facts.units, facts.failed = (
-            found.alive,
-            found.load,
-            found.units,
-            found.failed,
-        )
+        facts.alive, facts.load = found.alive, found.load
+        facts.units, facts.failed = found.units, found.failed
         facts.lives.update(found.lives)
         fences = {step.fence for step in self.upkeep.under_way()}
         for mine, theirs in ((facts.known, found.known), (facts.clear, found.clear)):
@@ -304,12 +306,20 @@
             return
         for command in self.planner.look(self.facts, now, self._wall_s()):
             self._propose(now, command)
-        self.broker.waits = {
-            f"{name}/{step.machine}": waits
-            for name, rows in state.steps.items()
-            for step in rows.values()
-            if (waits := self.planner.waits(step, self.facts, now, self._wall_s()))
-        }
+        self.broker.waits = self._waits(now)
+
+    def _waits(self, now: int) -> dict[str, list[str]]:
+        """What machines under way wait for, and the next of each order. It goes with each grant: no more."""
+        found: dict[str, list[str]] = {}
+        for name, rows in self.upkeep.state.steps.items():
+            waiting = False
+            for step in rows.values():
+                if step.phase == "waiting" and waiting:
+                    continue
+                waiting = waiting or step.phase == "waiting"
+                if said := self.planner.waits(step, self.facts, now, self._wall_s()):
+                    found[f"{name}/{step.machine}"] = said
+        return found
 
     def _propose(self, now: int, command: Command) -> None:
         name = encode(msgspec.structs.replace(command, at_s=0.0))
@@ -468,8 +478,3 @@
         except tomllib.TOMLDecodeError as fault:
             raise OrderError(f"not TOML: {fault}") from None
     return {key: value for key, value in asked.items() if key != "from"}
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -242,7 +242,7 @@
     upkeep = declared(Request(order("fw", ("x1", "x2"), at_once=1), 2.0))
     planner, known = Planner(upkeep, Rules()), facts(load=20.0, failed={"x5": 4})
     planner.look(known, 10_000_000, 3.0)
-    found = planner.look(known, 10_000_000, 4.5)
+    found = planner.look(known, 11_500_000, 4.5)
     assert Failed("x5", True, 4.5) in found and not permits(found)
     tell(upkeep, *found)
     assert not permits(planner.look(known, 10_000_000, 5.0))
@@ -253,9 +253,9 @@
     walk(upkeep, "x1", "fw", "draining")
     known.failed, known.load = {"x2": 4}, 45.0
     planner.look(known, 10_000_000, 7.0)
-    tell(upkeep, *planner.look(known, 10_000_000, 9.0))
+    tell(upkeep, *planner.look(known, 12_500_000, 9.0))
     known.clear = {}
-    back = planner.look(known, 10_000_000, 9.5)
+    back = planner.look(known, 12_600_000, 9.5)
     assert any(isinstance(c, Move) and (c.machine, c.to) == ("x1", "waiting") for c in back)
 
 
@@ -354,6 +354,25 @@
     assert not forecast(upkeep, asked, Rules(), facts(load=100.0), 3.0)  # nothing may ever go
 
 
+def test_a_forecast_of_weeks_takes_no_longer_than_one_of_seconds() -> None:
+    """Guards against a broker that stands still for its clients while an operator looks ahead."""
+    upkeep = declared(Request(Order("other", ("x5",), "replace", 604_800.0), 2.0))
+    planner, looks = Planner, [0]
+    walk(upkeep, "x5", "other", "draining", "out")  # and nobody says done
+    look = planner.look
+
+    def counted(self: Planner, *words: Any) -> list[Command]:
+        looks[0] += 1
+        return look(self, *words)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(planner, "look", counted)
+        asked = Order("fw", tuple(box.name for box in BOXES[:4]), "replace", 604_800.0, at_once=1)
+        found = forecast(upkeep, asked, Rules(cold_s=3_600.0), facts(), 3.0)
+    assert [name for _, name, _ in found] == ["x1", "x2", "x3", "x4"]
+    assert found[-1][0] >= 3 * 604_800.0 and looks[0] <= 60
+
+
 # --- what a broker may send ---------------------------------------------------------------------------
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,7 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.lab import processes
-from harriertide.lab.processes import Fault
+from harriertide.lab.script import Fault, load
 
 
 def test_a_limit_holds_while_brokers_die_stand_still_and_do_not_hear_each_other(tmp_path: Path) -> None:
@@ -66,11 +66,11 @@
     assert {fault.verb for fault in one} == {"kill", "pause", "term", "cut", "lose", "box"}
     path = tmp_path / "script.json"
     path.write_text(json.dumps([asdict(fault) for fault in one]))
-    assert processes.load_script(str(path), 4) == one
+    assert load(str(path), 4, processes.VERBS) == one
     for text, word in (("{", "--script"), ('[{"at_s":1,"verb":"odd"}]', "odd"), ('[{"x":1}]', "x")):
         path.write_text(text)
         with pytest.raises(PlainError, match=word):
-            processes.load_script(str(path), 4)
+            load(str(path), 4, processes.VERBS)
     path.write_text(json.dumps([asdict(one[0])]).replace('"a": 0', '"a": 9'))
     with pytest.raises(PlainError, match="no broker 9"):
-        processes.load_script(str(path), 4)
+        load(str(path), 4, processes.VERBS)
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -18,7 +18,8 @@
 from harriertide.cli.main import main as command
 from harriertide.decide.settings import PlainError
 from harriertide.lab import upkeep
-from harriertide.lab.rig import HOST, VERBS, Fault, Rig, draw, load_script
+from harriertide.lab.rig import VERBS, Rig, draw
+from harriertide.lab.script import HOST, Fault, load
 
 Body = Callable[[Rig], Awaitable[None]]
 
@@ -511,8 +512,8 @@
     assert {fault.verb for fault in one} == set(VERBS)
     path = tmp_path / "script.json"
     path.write_text(json.dumps([asdict(fault) for fault in one]))
-    assert load_script(str(path), 5) == one
+    assert load(str(path), 5, VERBS) == one
     for text, word in (("{", "--script"), ('[{"at_s":1,"verb":"odd"}]', "odd")):
         path.write_text(text)
         with pytest.raises(PlainError, match=word):
-            load_script(str(path), 5)
+            load(str(path), 5, VERBS)
