--- a/harriertide/lab/processes.py
+++ b/harriertide/lab/processes.py
@@ -74,8 +74,8 @@
 # --- the script ------------------------------------------------------------------------------------
 
 # kill (back after for_s); pause (SIGSTOP, for for_s); term (back after it has ended); cut (datagrams from a
-# to b, for for_s); lose (this part of all datagrams from now on); box (a broker's way to the box is silent for
-# for_s, then reset)
+# to b, for for_s); lose (this part of all datagrams from now on); box (a way to the box is silent for for_s,
+# then reset)
 VERBS = ("kill", "pause", "term", "cut", "lose", "box")
 
 
