--- a/harriertide/lab/fleet.py
+++ b/harriertide/lab/fleet.py
@@ -179,6 +179,7 @@
         self.rows: list[dict[str, Any]] = []
         self.tries: list[tuple[float, float, str, str]] = []  # from, to, box, by
         self.agreed: dict[str, Order] = {}
+        self.paused: dict[str, float] = {}  # until when processes stand still
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._leaving: set[str] = set()
         rows_of_boxes = {
@@ -208,11 +209,23 @@
         self.wall_off = {name: 0.0 for name in self.names}
 
     def deliver(self, name: str, payload: bytes) -> None:
-        """A payload has come."""
-        carrier = self.carriers.get(name)
+        """A payload has come; a process that stands still reads it when it goes on."""
+        carrier, loop = self.carriers.get(name), asyncio.get_running_loop()
+        if self.paused.get(name, 0.0) > loop.time():
+            loop.call_at(self.paused[name] + 0.001, self._deliver_late, carrier, payload)
+        elif carrier is not None and carrier.open:
+            carrier.take(payload)
+
+    @staticmethod
+    def _deliver_late(carrier: Carrier | None, payload: bytes) -> None:
         if carrier is not None and carrier.open:
             carrier.take(payload)
 
+    def _still(self, name: str, act: Callable[..., None], *args: Any) -> None:
+        """What a process does by itself, which it does not while it stands still."""
+        if self.paused.get(name, 0.0) <= asyncio.get_running_loop().time():
+            act(*args)
+
     # --- processes ------------------------------------------------------------------------------------
 
     async def start(self, name: str) -> None:
@@ -221,7 +234,8 @@
         settings = Maintenance(name, "", "", self.lease_ms, self.blind_s, 0, self._rows_of, self._labels)
 
         async def write(work: Callable[[], None]) -> None:
-            await until(asyncio.get_running_loop().time() + 0.0005)
+            loop = asyncio.get_running_loop()
+            await until(max(loop.time() + 0.0005, self.paused.get(name, 0.0)))
             work()
 
         def carrier(take: Callable[[bytes], bool]) -> Carrier:
@@ -245,6 +259,8 @@
             partial(self._wall, name),
         )
         made.events = made.broker.events = Log(self.rows, name)  # type: ignore[assignment]
+        made.broker._beat = partial(self._still, name, made.broker._beat)  # type: ignore[method-assign]
+        made._plan = partial(self._still, name, made._plan)  # type: ignore[method-assign]
         self.services[name] = made
         await made.start()
         loop = asyncio.get_running_loop()
@@ -288,6 +304,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await until(loop.time() + self.random.expovariate(1 / self.load_s))
+            if self.paused.get(name, 0.0) > loop.time():
+                await until(self.paused[name])  # and the first thing that it does then is a write
             box = self.random.choice(self.boxes)
             assert core.barred is not None
             if core.ready and not core.barred(box):
@@ -396,7 +414,7 @@
     whole_s = [0.0]
 
     async def fault() -> None:
-        what = random.choice(("kill", "kill", "cut", "apart", "lost", "jump", "all", "lose-disk"))
+        what = random.choice(("kill", "kill", "cut", "apart", "lost", "jump", "all", "lose-disk", "pause"))
         a, b = random.sample(fleet.names[: voters + 2], 2)
         for_s = random.uniform(0.2, 3.0)
         if what == "lose-disk" and loop.time() < whole_s[0]:
@@ -423,6 +441,8 @@
             fleet.cut |= ways
             await until(loop.time() + for_s)
             fleet.cut -= ways
+        elif what == "pause":
+            fleet.paused[a] = loop.time() + random.uniform(0.2, 8.0)
         elif what == "lost":
             fleet.lost = random.choice((0.0, 0.1, 0.3))
         else:
@@ -432,6 +452,7 @@
         await until(loop.time() + random.uniform(0.3, 2.0))
         await fault()
     fleet.cut.clear()
+    fleet.paused.clear()
     fleet.lost = 0.0
     await asyncio.gather(*asked)
     finished = await work
