Write a frame at once where the connection takes it, and see the other end go

An agreement passes four frames, and each woke a task that also made a wait of its own each second. A frame goes out in the turn in which it is made while nothing is held before it; the order stays. The end of a connection is read, where it was found by the first frame that got lost. tests/test_transport.py: order, bounds with a member that reads nothing, and one that comes back; the last failed on the text before.

--- a/harriertide/consensus/transport.py
+++ b/harriertide/consensus/transport.py
@@ -22,6 +22,7 @@
 _HEAD = struct.Struct("<II")
 FRAME_BYTES = 1024 * 1024
 HELD_BYTES = 2 * 1024 * 1024  # to one member
+HIGH_BYTES = 256 * 1024  # in the system's hands, before more is held here
 CONNECT_S, AGAIN_S, MOST_AGAIN_S = 1.0, 0.05, 1.0
 LINES = 1024  # connections that others made
 
@@ -87,11 +88,17 @@
         self._queue: deque[bytes] = deque()
         self._bytes = 0
         self._more = asyncio.Event()
+        self._free: asyncio.WriteTransport | None = None  # what may be written to beside the task
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, payload: bytes) -> None:
-        """Later, or never."""
+        """At once where the connection is up and takes it; else later, or never."""
         data = _HEAD.pack(len(payload), xxhash.xxh32_intdigest(payload)) + payload
+        free = self._free
+        idle = free is not None and not self._queue and not free.is_closing()
+        if free is not None and idle and free.get_write_buffer_size() < HIGH_BYTES:
+            self._put(free, data)  # no task has to wake for it: an agreement passes here four times
+            return
         self._queue.append(data)
         self._bytes += len(data)
         while self._bytes > HELD_BYTES:
@@ -105,7 +112,7 @@
             await self._more.wait()
             try:
                 async with asyncio.timeout(CONNECT_S):
-                    _, writer = await asyncio.open_connection(*self.address)
+                    reader, writer = await asyncio.open_connection(*self.address)
             except (OSError, TimeoutError):
                 self._owner.counts["unreached"] += 1
                 self._queue.clear()
@@ -116,31 +123,39 @@
                 continue
             pause_s = AGAIN_S
             try:
-                await self._write(writer)
+                await self._write(reader, writer)
             except OSError:
                 self._owner.counts["broken"] += 1
             finally:
+                self._free = None
                 writer.transport.abort()
 
-    async def _write(self, writer: asyncio.StreamWriter) -> None:
-        writer.transport.set_write_buffer_limits(high=256 * 1024)
-        while True:
-            while self._queue:
-                data = self._queue.popleft()
-                self._bytes -= len(data)
-                self._owner.counts["bytes_out"] += len(data)
-                self._owner.counts["frames_out"] += 1
-                writer.write(data)
-                await writer.drain()
-            self._more.clear()
-            waits = asyncio.ensure_future(self._more.wait())
-            try:
-                while not waits.done():
-                    await asyncio.wait([waits], timeout=1.0)
-                    if writer.transport.is_closing():
-                        raise ConnectionResetError
-            finally:
-                waits.cancel()
+    def _put(self, transport: asyncio.WriteTransport, data: bytes) -> None:
+        self._owner.counts["bytes_out"] += len(data)
+        self._owner.counts["frames_out"] += 1
+        transport.write(data)
+
+    async def _write(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Until the other end is gone: it never says anything, so whatever can be read is its end."""
+        writer.transport.set_write_buffer_limits(high=HIGH_BYTES)
+        gone = asyncio.ensure_future(reader.read(1))
+        more = asyncio.ensure_future(self._more.wait())
+        try:
+            while not gone.done():
+                while self._queue:
+                    data = self._queue.popleft()
+                    self._bytes -= len(data)
+                    self._put(writer.transport, data)
+                    await writer.drain()
+                self._more.clear()
+                self._free = writer.transport
+                if more.done():
+                    more = asyncio.ensure_future(self._more.wait())
+                await asyncio.wait((gone, more), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            gone.cancel()
+            more.cancel()
+            await asyncio.gather(gone, more, return_exceptions=True)
 
     def stop(self) -> None:
         """Say no more."""
