Hear of each change within 6 s whatever call failed before: one bound on the sum of waits

Seen: tests/test_silence.py plays discovery that fails in eleven ways until a drawn moment and then tells a drain, over 12 moments each, with the decision module, the runtime and the watch in virtual time. Lines: CONNECT_S, QUIET_S, HEAD_S and _lines in platform/discovery.py; ASK_MOST_US, CALL_MOST_US and _list in decide/rules.py. Ruled out: the core's look at the write (Reducer.may_write), which goes by the list at once. Change: waits are derived from the moment at which a change counts as told. A watch is silent after 2.5 s without an empty line or a whole object (any bytes counted); a call is given up after 2.2 s; the module waits 2 s at most, and half of a wait is drawn. Objects may come indented. What is older than what is held stops sends and never starts them: a stale list can't bring back a node that was told to leave, and older changes have the whole list asked for. Any fault in reading, an overflow among them, is a watch that ended: the task died of it and no watch came again. Bounds in test_mass and test_fleet held the older rule (four times the settings' time) and a rate that it allowed; they now hold the new one, which is shorter. A pushed list that goes back is asked for whole, where it was passed over. Cost: 200 brokers that are all turned away call some 130 times a second, 25 before.

--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -55,8 +55,9 @@
 OVERTAKEN = 2  # answers of a node to what it was sent later, after which an attempt there may be lost
 PATIENCE = 5.0  # and latest latencies there, by size, that it has lasted
 MARGIN_US = 50_000  # kept to the end of a repeat window
-ASK_FIRST_US, ASK_MOST_US = 300_000, 4_000_000  # backoff of calls to the node list, or for each head:
-CALL_FIRST_US, CALL_MOST_US, CALL_SPREAD_US = 40_000, 200_000, 25_000  # the last: for first calls
+# Backoff of calls to the node list; the longest and a call without an answer end before a change counts as
+# told (platform/discovery.py). For each head: the first wait, and the spread of first calls
+ASK_FIRST_US, ASK_MOST_US, CALL_FIRST_US, CALL_SPREAD_US = 400_000, 2_000_000, 6_000, 12_500
 FEW_PROVEN = 0.5  # mean requests that the safe units stand for among the answers of a cold node
 PROOF = 16  # large requests' worth of answers that tell what a cold node can do by now
 NO_LIFE = frozenset({"timeout", "connect_failed", "reset"})
@@ -86,7 +87,6 @@
         self._notes: dict[tuple[int, int], list[tuple[int, list[float]]]] = {}
         self._later: list[tuple[int, int, Request | Cell | Leases | str | None]] = []
         self._now = self._count = self._wake_us = self._round_us = self._round_end = 0
-        self._ask_wait = max(ASK_FIRST_US, CALL_FIRST_US * settings.heads)
         self._usual: list[float] = []
         self._leases: Leases | None = None
         self._settle(settings)
@@ -120,6 +120,9 @@
         order = Random(turn).sample(range(settings.shards), settings.shards)
         self._near = frozenset(order[place * size :][:size])
         self._usual += [0.0] * (len(settings.classes) - len(self._usual))
+        self._ask_most = max(ASK_FIRST_US, min(ASK_MOST_US, settings.ask_within_us // 2))
+        first_us = max(ASK_FIRST_US, CALL_FIRST_US * settings.heads)
+        self._ask_wait = self._ask_first = min(self._ask_most, first_us)
         self._aim = min(kind.aim_us for kind in settings.classes)
         self._top = max(k.worth * p.price for k in settings.classes for p in settings.plans) or 1.0
         fills = [int(SECOND * p.limit_burst / p.limit) for p in settings.plans if p.limit > 0]
@@ -135,7 +138,7 @@
             # heads that start together do not bid together
             self._round_end = self._now + int(ROUND_US * (0.5 + self._random.random()))
             if self._s.ask_for_list:
-                spread_us = min(CALL_SPREAD_US * self._s.heads, self._s.ask_within_us // 2)
+                spread_us = min(CALL_SPREAD_US * self._s.heads, self._ask_most)
                 self._at(self._now + int(self._random.random() * spread_us), None)
         for event in events:
             if isinstance(event, api.Arrival):
@@ -465,14 +468,11 @@
     def _list(self, event: api.NodeList) -> None:
         """Follow the node list; ask again, with backoff, after a failed call."""
         if event.kind == "failed":
-            if self._s.ask_for_list:
-                # jitter, as hundreds are turned away together; and under the time that a failure allows
-                most = min(max(ASK_MOST_US, CALL_MOST_US * self._s.heads), 2 * self._s.ask_within_us)
-                wait_us = max(ASK_FIRST_US, min(most, self._ask_wait))
-                self._at(self._now + int(wait_us * (0.5 + self._random.random())), None)
-                self._ask_wait = 2 * wait_us
+            if self._s.ask_for_list:  # jitter, as hundreds are turned away together
+                self._at(self._now + int(self._ask_wait * (0.5 + 0.5 * self._random.random())), None)
+                self._ask_wait = min(self._ask_most, 2 * self._ask_wait)
             return
-        self._ask_wait = max(ASK_FIRST_US, CALL_FIRST_US * self._s.heads)
+        self._ask_wait = self._ask_first
         if event.kind != "changes":
             named = {entry.node for entry in event.nodes}
             for known in self._nodes.values():
--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
@@ -14,25 +16,69 @@
 from harriertide.decide import api
 from harriertide.engine.log import log
 
-CONNECT_S = 1.0
-# Guards against a discovery that vanished without a reset: an empty line is due every 2 s, and a call is
-# answered or turned away within about as long. A change counts as told 6 s after the last word at the latest,
-# so a watch this quiet is over, and so is a call, with time to ask once more.
-QUIET_S = HEAD_S = 4.5
+# A change counts as told TOLD_S after discovery had it and could be reached, whatever failed before. The
+# longest ways to hear of one end before that: a watch that falls silent behind its last word, a call that is
+# never answered and one more that is; or a call that is never answered behind the decision module's longest
+# wait (ASK_MOST_US) and one more. tests/test_silence.py adds them up and plays them.
+TOLD_S = 6.0
+CONNECT_S = 0.8
+# An empty line is due every 2 s, so a watch this quiet is over. Discovery answers a call or turns it away
+# within two seconds, so one without a word by then gets none.
+QUIET_S, HEAD_S = 2.5, 2.2
 # Lists that an agent pushes count as told as soon as it has them, and asking it costs nothing: there a watch
 # that ends is opened again by itself, at once and then this often, and one that is late is given up sooner.
-AGAIN_S, PUSH_HEAD_S, PUSH_QUIET_S = 0.1, 1.0, 2.5
+AGAIN_S, PUSH_HEAD_S = 0.1, 1.0
 LINE_BYTES = 4 * 1024 * 1024
+GONE_MOST = 512  # ids of nodes that were removed are remembered, against lists that are older
+_MARKS = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # of JSON: strings, which may hold brackets, and brackets
 _STATES = {"up": "live", "draining": "draining", "removed": "gone"}
 
 
+class OlderError(ValueError):
+    """Changes of a version before the one that is held: late ones, or discovery counts anew."""
+
+
+class Objects:
+    """JSON objects out of the lines of a watch, each on one line or indented over several."""
+
+    def __init__(self) -> None:
+        self._rest = b""  # of a line
+        self._held: list[bytes] = []  # lines of an object that is not whole
+        self._depth = self._size = 0
+
+    def feed(self, data: bytes) -> tuple[list[bytes], bool]:
+        """What became whole, and whether a word of discovery came: an object, or an empty line beside one.
+
+        Guards against a line that trickles, or an object that never ends, passing for signs of life.
+        """
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        found: list[bytes] = []
+        word = False
+        for line in lines:
+            if not (self._held or line.strip()):
+                word = True
+                continue
+            marks = _MARKS.findall(line)
+            self._depth += sum(mark in b"{[" for mark in marks) - sum(mark in b"}]" for mark in marks)
+            self._held.append(line)
+            self._size += len(line)
+            if self._depth <= 0:
+                found.append(b"\n".join(self._held))
+                self._held, self._depth, self._size = [], 0, 0
+        if len(self._rest) + self._size > LINE_BYTES:
+            raise ValueError("a list without an end")
+        return found, word or bool(found)
+
+
 class Directory:
-    """The list in discovery's form: its version, and the addresses of nodes."""
+    """The list in discovery's form: its version, its entries, and the addresses of nodes."""
 
     def __init__(self, zones: dict[str, int]) -> None:
         self.seq = 0
         self.zones = zones
         self._dial: dict[str, str] = {}
+        self._entries: dict[str, api.NodeEntry] = {}
+        self._gone: dict[str, None] = {}  # ids, which never come again; longest ago first
 
     def find(self, node: str) -> str | None:
         """Where to dial a node."""
@@ -43,27 +89,51 @@
         return len(self._dial)
 
     def read(self, page: dict[str, Any], kind: str | None = None) -> api.NodeList:
-        """One object of discovery as news; ValueError, KeyError or TypeError on what it is not."""
+        """One object of discovery as news; ValueError, KeyError or TypeError on what it is not.
+
+        kind: what it is taken for, whatever its version. What is older than what is held, or comes from a
+        discovery that may count otherwise, may be stale: it starts no sends that were told to stop.
+        """
         entries = tuple(self._entry(raw) for raw in page["hosts"])
-        dials = {
-            raw["host"]: str(raw["dial"])
-            for raw in page["hosts"]
-            if raw.get("dial") and raw["health"] != "removed"
-        }
+        dials = {raw["host"]: str(raw["dial"]) for raw in page["hosts"] if raw.get("dial")}
         seq = int(page["seq"])
         whole = bool(page.get("whole"))
-        if not whole and kind is None and seq < self.seq:
-            return api.NodeList("changes")  # older than what is held: it would bring back what is gone
+        if kind is not None or seq < self.seq:
+            entries = tuple(map(self._with_care, entries))
+            if not whole and kind is None:
+                entries = tuple(e for e in entries if e.node in self._entries and e.state != "live")
+                seq = self.seq
         if whole:
-            self._dial = {}
-        self._dial.update(dials)
+            self._bury(self._entries.keys() - {entry.node for entry in entries})
+            self._dial, self._entries = {}, {}
         for entry in entries:
-            if entry.state == "gone":  # its id never comes again
+            if entry.state == "gone":
+                self._bury([entry.node])
                 self._dial.pop(entry.node, None)
+                self._entries.pop(entry.node, None)
+                continue
+            self._entries[entry.node] = entry
+            if entry.node in dials:
+                self._dial[entry.node] = dials[entry.node]
         self.seq = seq
         news = kind or ("whole" if whole else "changes")
         return api.NodeList(news, entries)  # type: ignore[arg-type]
 
+    def _with_care(self, entry: api.NodeEntry) -> api.NodeEntry:
+        """It, unless what is held of that node stops sends, or has it started later."""
+        held = self._entries.get(entry.node)
+        if entry.node in self._gone:
+            return replace(entry, state="gone")
+        if held is None or entry.started_us > held.started_us:
+            return entry
+        state = entry.state if held.state == "live" else held.state
+        return replace(entry, state=state, started_us=held.started_us)
+
+    def _bury(self, nodes: Iterable[str]) -> None:
+        self._gone.update(dict.fromkeys(nodes))
+        while len(self._gone) > GONE_MOST:
+            del self._gone[next(iter(self._gone))]
+
     def _entry(self, raw: dict[str, Any]) -> api.NodeEntry:
         return api.NodeEntry(
             node=str(raw["host"]),
@@ -86,7 +156,7 @@
         self.counts: Counter[str] = Counter()
         self._pushed = self._closed = self._said = False
         self._again: asyncio.TimerHandle | None = None
-        self._head_s, self._quiet_s = HEAD_S, QUIET_S
+        self._head_s = HEAD_S
         self.address = address
         self._directory, self._post = directory, post
         self._task: asyncio.Task[None] | None = None
@@ -97,7 +167,7 @@
     def follow(self, pushed: bool) -> None:
         """Whether the list is pushed, from now on; then the watch is kept up from here."""
         self._pushed = pushed
-        self._head_s, self._quiet_s = (PUSH_HEAD_S, PUSH_QUIET_S) if pushed else (HEAD_S, QUIET_S)
+        self._head_s = PUSH_HEAD_S if pushed else HEAD_S
         if pushed:
             self.open()
 
@@ -139,12 +209,14 @@
         try:
             await self._read(address)
             self.counts["ended"] += 1
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as fault:
+        except Exception as fault:  # whatever comes: without a watch, drains would go unheard for good
             self.counts["broken"] += 1
             if not (self._pushed and self._said):  # one line for each time that an agent is away
                 log("watch on discovery ended", kind=type(fault).__name__, reason=str(fault))
             self._said = True
-            silent = isinstance(fault, TimeoutError) and not self._pressing
+            if isinstance(fault, OlderError):
+                self._anew = True  # only its whole list can tell which of the two holds
+            silent = isinstance(fault, (TimeoutError, OlderError)) and not self._pressing
         if asyncio.current_task() is self._task:  # not one on an address that discovery has left
             self._task = None
             if silent:
@@ -202,18 +274,16 @@
 
     async def _lines(self, response: aiohttp.ClientResponse, limit: asyncio.Timeout) -> None:
         loop = asyncio.get_running_loop()
-        rest = b""
-        limit.reschedule(loop.time() + self._quiet_s)
+        objects = Objects()
+        limit.reschedule(loop.time() + QUIET_S)
         async for chunk in response.content.iter_any():
-            self._said = self._pressing = False
-            limit.reschedule(loop.time() + self._quiet_s)
-            *lines, rest = (rest + chunk).split(b"\n")  # a line may come in pieces, or many at once
-            if len(rest) > LINE_BYTES:
-                raise ValueError("a line without an end")
-            for line in lines:
-                if line.strip():
-                    self.counts["lines"] += 1
-                    self._take(line)
+            found, word = objects.feed(chunk)
+            if word:
+                self._said = self._pressing = False
+                limit.reschedule(loop.time() + QUIET_S)
+            for page in found:
+                self.counts["lines"] += 1
+                self._take(page)
 
     def _take(self, line: bytes, kind: str | None = None) -> None:
         """News for the core. What an old address still tells counts, but not its version."""
@@ -221,7 +291,10 @@
         current = asyncio.current_task() is self._task
         if not current:
             page["seq"] = self._directory.seq
+        older = kind is None and not page.get("whole") and int(page["seq"]) < self._directory.seq
         self._post(ev.Listed(self._directory.read(page, kind)))
+        if older:  # its whole list tells which of the two holds
+            raise OlderError(f"version {page['seq']} after {self._directory.seq}")
         if current:
             self._anew = False
             self._let_go()
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -132,6 +132,11 @@
         s send list b1=draining
         s send list b1=draining
         s send raw '{{"seq":8,"whole":false,"hosts":[{OLD}]}}'
+        s expect GET /registry/instances
+        s send 200 body='{{"seq":8,"whole":true,"hosts":[{OLD}]}}'
+        s expect GET /registry/instances?watch=1&after=8
+        s send 200 Transfer-Encoding=chunked
+        s send raw ''
         wait 0.05
         c send GET /api @0
         c expect 503
@@ -159,7 +164,7 @@
     from harriertide.platform import discovery
 
     monkeypatch.setattr(discovery, "PUSH_HEAD_S", 0.15)
-    monkeypatch.setattr(discovery, "PUSH_QUIET_S", 0.3)
+    monkeypatch.setattr(discovery, "QUIET_S", 0.3)
     script = f"""{WATCHED}
         s expect GET /registry/instances?watch=1&after=7
         s expect GET /registry/instances?watch=1&after=7
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -109,8 +109,9 @@
                 calls[ms] += 1
                 head.decide(START_US + ms * 1_000, [api.NodeList("failed")])
     by_second = [sum(calls[ms] for ms in range(s * 1_000, s * 1_000 + 1_000, 10)) for s in range(60)]
-    assert max(calls.values()) <= 4 and HEADS <= by_second[0] <= HEADS + 4
-    assert max(by_second[1:]) <= 20 and max(by_second[15:]) <= 12 and sum(by_second[15:]) > 45
+    assert max(calls.values()) <= 5
+    # once each waits as long as it may, 1 to 2 s: a change counts as told 6 s after discovery is back
+    assert max(by_second[15:]) <= HEADS and sum(by_second[15:]) > 45 * HEADS / 2
 
 
 def test_a_head_that_offers_little_leaves_a_strained_shard_more_room() -> None:
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -11,11 +11,14 @@
 from harriertide.decide import api, rules
 from harriertide.decide.rules import ASK_FIRST_US, NEAR
 from harriertide.lab.plant import OTHER
+from harriertide.platform import discovery
 from tests.helpers import SETTINGS, START_US
 from tests.plant import Plant
 
 HEADS, SHARDS, SECOND = 200, 119, 1_000_000
 WITHIN_US = 8 * SECOND
+# between two calls: one may last CONNECT_S and HEAD_S before it fails, the next is answered within a second
+LONGEST_US = int((discovery.TOLD_S - discovery.CONNECT_S - discovery.HEAD_S - 1.0) * SECOND)
 MASS = replace(SETTINGS, heads=HEADS, shards=SHARDS)
 SHAPES = {"first": MASS, "other": replace(OTHER, heads=HEADS, shards=SHARDS, may_tell=True)}
 ASKING = replace(MASS, ask_for_list=True, ask_within_us=WITHIN_US)
@@ -28,14 +31,20 @@
 
 
 def test_calls_for_the_list_stay_apart_and_none_waits_longer_than_the_settings_allow() -> None:
-    """Discovery turns every call away for two minutes: each counts as told four times ask_within_us later."""
+    """Discovery turns every call away for two minutes, and a change counts as told 6 s after it is back.
+
+    Two hundred heads that may wait two seconds at most call a hundred times a second or more, wherever they
+    begin; that no second has twice as many is what the spread is for.
+    """
     plant = Plant(ASKING)
     plant.dark = True
     plant.run(120 * SECOND, 0.0, [], step_us=50_000)
-    assert len(plant.calls) == HEADS and max(c[0] for c in plant.calls.values()) < START_US + WITHIN_US
-    assert max(gaps(plant)) <= 4 * WITHIN_US - 6 * SECOND  # a call may last 6 s before it fails
+    assert len(plant.calls) == HEADS and max(c[0] for c in plant.calls.values()) <= START_US + 2 * SECOND
+    assert max(gaps(plant)) <= LONGEST_US + 100_000  # two steps of the play
     by_second = Counter((at - START_US) // SECOND for calls in plant.calls.values() for at in calls)
-    assert max(by_second.values()) <= 70 and max(n for s, n in by_second.items() if s > 40) <= 30
+    most = HEADS * SECOND / LONGEST_US
+    assert max(by_second.values()) <= 2 * most
+    assert max(n for s, n in by_second.items() if s > 40) <= 1.6 * most
 
 
 def test_settings_that_allow_no_time_at_all_make_no_busy_loop_of_calls() -> None:
@@ -43,7 +52,7 @@
     plant.dark = True
     plant.post = [(START_US, number, api.NodeList("failed")) for number in plant.heads]
     plant.run(10 * SECOND, 0.0, [])
-    assert 10 < max(map(len, plant.calls.values())) <= 2 * 10 * SECOND / ASK_FIRST_US
+    assert 10 < max(map(len, plant.calls.values())) <= 2 * 10 * SECOND / (0.75 * ASK_FIRST_US)  # in the mean
 
 
 def test_a_drain_that_discovery_cannot_tell_stops_all_sends_with_the_first_list_that_comes() -> None:
@@ -55,7 +64,7 @@
     plant.heads = {number: plant.heads[number] for number in range(12)}
     plant.dark, plant.answer = True, ("full", 1_000)
     plant.run(100 * SECOND, 2.0, [0], step_us=50_000)
-    assert max(gaps(plant)) <= 4 * WITHIN_US - 6 * SECOND and len(plant.sent) > 100
+    assert max(gaps(plant)) <= LONGEST_US + 100_000 and len(plant.sent) > 100
     plant.tell_list(api.NodeEntry("n00", 0, "draining"))
     plant.run(100_000, 0.0, [])
     before = len(plant.sent)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,16 +1,23 @@
-"""A discovery that falls silent under a watch or a call, in virtual time: who asks again, and when."""
+"""A discovery that fails in every way, in virtual time: who asks again, when, and when a drain is told."""
 
 from __future__ import annotations
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
+
+import orjson
+import pytest
 
 from harriertide.core import events as ev
-from harriertide.engine.clock import until
+from harriertide.core.reducer import Reducer
+from harriertide.decide import api, rules
+from harriertide.engine.clock import Clock, until
+from harriertide.engine.runtime import Runtime
 from harriertide.lab import virtual
-from harriertide.platform.discovery import Directory, Watch
+from harriertide.platform.discovery import CONNECT_S, HEAD_S, QUIET_S, TOLD_S, Directory, Objects, Watch
+from tests.helpers import SETTINGS
 
-TOLD_S = 6.0  # what a silent watch misses counts as told so long after its last word
 LIST = b'{"seq":7,"whole":true,"hosts":[]}\n'
 
 
@@ -54,7 +61,7 @@
 
 
 def test_a_watch_that_falls_silent_is_opened_anew_in_time_and_without_the_core() -> None:
-    asked, told = course([True, True, True], 12.0)
+    asked, told = course([True, True, True], 7.0)
     assert len(asked) == 3 and asked[1] - asked[0] < TOLD_S - 1.0 and asked[2] - asked[1] < TOLD_S - 1.0
     assert told == ["whole"] * 3
 
@@ -66,3 +73,165 @@
     assert told == ["failed"]
     asked, told = course([False, True, False], 60.0)
     assert len(asked) == 3 and told == ["whole", "failed"]  # what has spoken again may fall silent again
+
+
+# --- every way to fail, and then a drain ---------------------------------------------------------
+
+HOST = {"host": "n1", "dial": "127.0.0.1:1", "block": 0, "health": "up", "born_ms": 0}
+DRAIN_S = 20.0
+
+
+def page(seq: int, health: str, whole: bool = True) -> bytes:
+    return orjson.dumps({"seq": seq, "whole": whole, "hosts": [{**HOST, "health": health}]})
+
+
+class Faulty:
+    """Discovery, in one way of failing until a moment, and in order from then on, with a drain.
+
+    Connections that were opened before stay as they were then: what hangs goes on hanging.
+    """
+
+    def __init__(self, way: str, until_s: float) -> None:
+        self.way, self.until = way, until_s
+        self.begun = asyncio.get_running_loop().time()
+        self.calls = 0
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time() - self.begun
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.calls += 1
+            faulty = self.now() < self.until
+            # the first watch of all comes up, so that there is one to break
+            if faulty and self.calls > 1 and self.way in ("503", "reset", "hangs"):
+                if self.way == "503":
+                    await asyncio.sleep(1.0)  # it waited in the queue
+                    writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+                elif self.way == "reset":
+                    writer.transport.abort()
+                else:
+                    await asyncio.Event().wait()
+                return
+            state, seq = ("up", 7) if faulty else ("draining", 8)
+            if b"watch=1" not in head:
+                body = page(seq, state)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            await self._watch(writer, seq, state, faulty)
+
+    async def _watch(self, writer: asyncio.StreamWriter, seq: int, state: str, faulty: bool) -> None:
+        def chunk(data: bytes) -> None:
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+        first = page(seq, state)
+        if self.way == "indented":
+            first = orjson.dumps(orjson.loads(first), option=orjson.OPT_INDENT_2)
+        chunk(first + b"\n")
+        if not faulty:
+            while True:
+                await asyncio.sleep(2.0)
+                chunk(b"\n")
+        if self.way in ("503", "reset", "hangs", "ends", "stays"):
+            await asyncio.sleep(0.5)
+            if self.way == "stays":
+                await until(self.begun + self.until)
+                chunk(page(8, "draining", whole=False) + b"\n")
+            elif self.way == "ends":
+                writer.write(b"0\r\n\r\n")
+            else:
+                writer.transport.abort()
+        elif self.way == "trickles":
+            for byte in page(8, "draining"):
+                chunk(bytes([byte]))
+                await asyncio.sleep(0.5)
+        elif self.way == "half an object and empty lines":
+            chunk(b'{"seq":8,\n')
+            while True:
+                await asyncio.sleep(1.0)
+                chunk(b"\n")
+        elif self.way == "older changes":
+            while True:
+                await asyncio.sleep(1.0)
+                chunk(page(3, "up", whole=False) + b"\n")
+        elif self.way == "a number out of bounds":
+            chunk(b'{"seq":1e999,"whole":true,"hosts":[]}\n')
+        await asyncio.Event().wait()  # "silent", and "indented"
+
+
+WAYS = ("503", "reset", "hangs", "ends", "stays", "trickles", "half an object and empty lines")
+WAYS += ("older changes", "a number out of bounds", "silent", "indented")
+
+
+@pytest.mark.parametrize("heads", [4, 200])
+@pytest.mark.parametrize("way", WAYS)
+def test_a_drain_is_told_in_time_whatever_failed_before(way: str, heads: int) -> None:
+    """Whatever calls came to before: with the drain's moment drawn over the waits between them."""
+
+    async def play(seed: int) -> float:
+        loop = asyncio.get_running_loop()
+        settings = replace(SETTINGS, heads=heads, ask_for_list=True)
+        core = Reducer(settings, seed)
+        runtime = Runtime(core, Clock(loop))
+        faulty = Faulty(way, DRAIN_S + seed * 0.37)
+        server = await asyncio.start_server(faulty.serve, "127.0.0.1", 0)
+        watch = Watch(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", Directory({}), runtime.post)
+        runtime.watch = watch.open
+        runtime.post(ev.Listed(api.NodeList("held", (api.NodeEntry("n1", 0),))))
+        await until(loop.time() + 0.01)
+        end = faulty.begun + faulty.until + 2 * TOLD_S
+        while loop.time() < end and core.nodes()["n1"].state == "live":
+            await until(loop.time() + 0.05)
+        told = faulty.now() - faulty.until
+        await watch.close()
+        await runtime.close(loop.time())
+        server.close()
+        return told
+
+    assert max(virtual.run(play(seed)) for seed in range(12)) < TOLD_S
+
+
+def test_the_longest_ways_to_hear_of_a_change_end_in_time() -> None:
+    call, answer = CONNECT_S + HEAD_S, 0.5
+    assert QUIET_S + call + answer <= TOLD_S
+    assert rules.ASK_MOST_US / 1e6 + call + answer <= TOLD_S  # it came back right behind a call that failed
+
+
+def test_objects_of_a_watch_may_come_indented_in_pieces_and_with_brackets_in_their_strings() -> None:
+    one = {"a": '}]"{\\', "b": [{"c": 1}, {}]}
+    text = orjson.dumps(one, option=orjson.OPT_INDENT_2) + b"\n\n" + b'{"d":2}\n'
+    for size in (1, 7, len(text)):
+        objects, found = Objects(), []
+        for at in range(0, len(text), size):
+            found += objects.feed(text[at : at + size])[0]
+        assert [orjson.loads(each) for each in found] == [one, {"d": 2}]
+    assert Objects().feed(b"\n") == ([], True)
+    objects = Objects()
+    assert objects.feed(b'{"a":\n\n') == ([], False) and objects.feed(b"\n1}\n") == ([b'{"a":\n\n\n1}'], True)
+
+
+def test_an_older_list_brings_nothing_back_that_was_told_to_leave_or_has_started_since() -> None:
+    directory = Directory({})
+
+    def read(
+        seq: int, health: str, whole: bool, kind: str | None = None, born_ms: int = 0
+    ) -> list[tuple[str, int]]:
+        host = {**HOST, "health": health, "born_ms": born_ms}
+        news = directory.read({"seq": seq, "whole": whole, "hosts": [host]}, kind)
+        return [(entry.state, entry.started_us) for entry in news.nodes]
+
+    assert read(7, "up", True, "held") == [("live", 0)]
+    assert read(9, "draining", False) == read(9, "draining", False) == [("draining", 0)]  # told twice
+    assert read(8, "up", False) == [("draining", 0)] and directory.seq == 9
+    assert read(5, "up", True) == [("draining", 0)] and directory.seq == 5  # discovery counts anew
+    assert read(6, "up", False) == [("live", 0)]  # a drain undone
+    assert read(7, "up", False, born_ms=4) == [("live", 4000)]  # it has started anew
+    assert read(3, "up", True) == [("live", 4000)]  # and is cold, whatever an older list says
+    assert read(4, "removed", False) == [("gone", 0)]
+    assert read(1, "up", True, "whole") == [("gone", 0)] and directory.find("n1") is None
+    absent = Directory({})
+    absent.read({"seq": 7, "whole": True, "hosts": [HOST]})
+    absent.read({"seq": 8, "whole": True, "hosts": []})
+    assert absent.read({"seq": 6, "whole": True, "hosts": [HOST]}).nodes[0].state == "gone"
