Look for the client's end right before each attempt: one that left unread was sent on

Seen: tests/test_crossings.py, plain sockets that close between two turns of the loop. On the text before, a client whose close lies behind bytes that are not read had a further attempt made (platform and object front); ten clients that sent and left in one turn had one request sent on; aiohttp's handler ran three times for a client that had gone. Lines: Attempt.may_write in engine/runtime.py asked the core only, which hears of an end one or more turns later, and not at all while reading is paused; library/web.py goes by cancellation, which aiohttp's applications don't have. Ruled out: requests that wait in the module (the same look stops them); a large flood that is read on: its end comes after its bytes, and reading is not paused there. Change: right before an attempt is written (and before the library runs its work) its job is asked whether who asked has left: poll with POLLRDHUP, which sees an end behind unread bytes. One system call an attempt. Broker.call takes `gone` for that; the ASGI face listens for the disconnect as before. Tests: five; all seen to fail on the text before.

--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -33,6 +33,8 @@
     def may_write(self) -> api.OutcomeKind | None:
         """None: write now. Else the attempt ends so, with nothing written."""
         runtime = self.runtime
+        if runtime.gone(self.request):
+            return "moot"
         return runtime.core.may_write(self.request, self.number, runtime.clock.now_us())
 
 
@@ -49,6 +51,9 @@
     async def attempt(self, attempt: Attempt) -> Ending:
         """Perform one attempt; how it ended, and what to pass on."""
 
+    def gone(self) -> bool:
+        """Whether who asked has left, as the system knows it now: the loop may not have heard of it yet."""
+
     def answer(self, answer: ev.Answer) -> None:
         """The final answer."""
 
@@ -81,6 +86,18 @@
         """The client of a request is gone."""
         self.post(ev.Left(request))
 
+    def gone(self, request: str) -> bool:
+        """Whether who asked has left, looked up now.
+
+        Guards against an attempt that begins behind its client's close: that lies behind bytes that were not
+        read, or comes in a turn of the loop in which there is much else to do.
+        """
+        job = self._jobs.get(request)
+        if job is None or not job.gone():
+            return False
+        self.left(request)
+        return True
+
     def began(self, attempt: Attempt) -> None:
         """The answer of an attempt is on its way to the client."""
         self.post(ev.Began(attempt.request, attempt.number))
--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -10,6 +10,8 @@
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from contextvars import ContextVar
 from typing import Any, Literal
 
 from aiohttp import web
@@ -31,19 +33,23 @@
 ACCEPTS = 4  # connections taken in one turn of the loop; more wait in the system's queue
 BACKLOG = 512
 
+# The connection of the request that is being handled, for what is asked for it
+ASKER: ContextVar[asyncio.BaseTransport | None] = ContextVar("harriertide.asker", default=None)
+
 State = Literal["silent", "reading", "busy", "idle", "parting"]
 
 
 class ClientLine(RequestHandler):
     """aiohttp's handler of one connection, which stands in its room under what it is doing."""
 
-    __slots__ = ("room", "state", "since")
+    __slots__ = ("room", "state", "since", "thrown")
 
     def __init__(self, server: FrontServer, **named: Any) -> None:
         super().__init__(server, loop=asyncio.get_running_loop(), **named)
         self.room = server.room
         self.state: State = "silent"
         self.since = 0.0
+        self.thrown = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -210,6 +216,7 @@
         line = request.protocol
         assert isinstance(line, ClientLine)
         room.move(line, "busy")
+        ASKER.set(line.transport)
         try:
             return await handle(request)
         finally:
--- a/harriertide/http/quiet.py
+++ b/harriertide/http/quiet.py
@@ -19,8 +19,26 @@
     look = transport.get_extra_info("unread")
     if look is not None:
         return bool(look())
+    return _look(transport, select.POLLIN | (select.POLLRDHUP if ends else 0))
+
+
+def ended(transport: asyncio.BaseTransport | None) -> bool:
+    """Whether the other side has ended its sending or is gone, also behind bytes that were not read.
+
+    A transport that is no socket's says so by its extra info 'ended'; one that can't is not known to have.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    look = transport.get_extra_info("ended")
+    if look is not None:
+        return bool(look())
+    return transport.get_extra_info("socket") is not None and _look(transport, select.POLLRDHUP)
+
+
+def _look(transport: asyncio.BaseTransport, events: int) -> bool:
+    """Whether one of these lies there now, or the connection is broken."""
     number = transport.get_extra_info("socket").fileno()
-    _POLL.register(number, select.POLLIN | (select.POLLRDHUP if ends else 0))
+    _POLL.register(number, events)
     try:
         return bool(_POLL.poll(0))
     finally:
--- a/harriertide/lab/second_copy.py
+++ b/harriertide/lab/second_copy.py
@@ -243,6 +243,9 @@
         except BrokenError as end:
             return end.kind, None
 
+    def gone(self) -> bool:
+        return False
+
     def answer(self, answer: ev.Answer) -> None:
         """Room for the next one."""
         self._done.release()
--- a/harriertide/lab/virtual.py
+++ b/harriertide/lab/virtual.py
@@ -83,8 +83,14 @@
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """Addresses, and whether something lies here unread; there is no socket."""
         found = {"peername": self._there, "sockname": self._here, "unread": self._unread}
+        found["ended"] = self._over
         return found.get(name, default)
 
+    def _over(self) -> bool:
+        """Whether the other side's end has come, maybe behind bytes that were not read."""
+        now = self._loop.time()
+        return not all([*self._held, *(data for at, data in self._coming if at <= now)])
+
     def _unread(self) -> bool:
         return bool(self._held or (self._coming and self._coming[0][0] <= self._loop.time()))
 
--- a/harriertide/library/broker.py
+++ b/harriertide/library/broker.py
@@ -44,7 +44,7 @@
 Perform = Callable[[Attempt], Awaitable[T]]
 CONNECT_US, IDLE_US = 250_000, 15_000_000
 SOCKETS, MEMORY_MB = 256, 64  # of which the client of boxes takes its part
-_OVERDUE = ev.Answer("", "failed")
+_OVERDUE, _LEFT = ev.Answer("", "failed"), ev.Answer("", "failed")
 LAST_S = 0.25  # after the end of its time a call whose work goes on all the same is answered
 STOP_S = 5.0  # a stop without a moment of its own waits so long for open calls
 
@@ -52,8 +52,10 @@
 class _Call(Generic[T]):
     """One call on its way through the core."""
 
-    def __init__(self, perform: Perform[T], find: Callable[[str], str | None]) -> None:
-        self.context = contextvars.copy_context()
+    def __init__(
+        self, perform: Perform[T], find: Callable[[str], str | None], gone: Callable[[], bool]
+    ) -> None:
+        self.context, self._gone = contextvars.copy_context(), gone
         self._perform, self._find = perform, find
         self.final: asyncio.Future[ev.Answer] = asyncio.get_running_loop().create_future()
 
@@ -62,6 +64,8 @@
         mine = Attempt(attempt, self._find(attempt.node))
         if attempt.from_us:
             await until(attempt.runtime.clock.loop_time(attempt.from_us))
+        if attempt.runtime.gone(attempt.request):
+            return "moot", None
         try:
             async with asyncio.timeout_at(mine.stop_at) as limit:
                 return "ok", (await self._perform(mine), None)
@@ -72,6 +76,13 @@
         except Exception as fault:  # the application's own affair: it is the answer, the box is not to blame
             return "ok", (None, fault)
 
+    def gone(self) -> bool:
+        """Whether who asked has left; then nobody waits for an answer of the core."""
+        if self._gone():
+            self.answer(_LEFT)
+            return True
+        return False
+
     def answer(self, answer: ev.Answer) -> None:
         """The final answer, to who waits for it."""
         if not self.final.done():
@@ -285,11 +296,12 @@
             raise RuntimeError("the broker has not been started")
         return Boxes(self._client)
 
-    async def call(self, ask: Ask, perform: Perform[T]) -> T:
+    async def call(self, ask: Ask, perform: Perform[T], gone: Callable[[], bool] = lambda: False) -> T:
         """Run perform(attempt) on a box of the core's choice, again where it may help; what it returned.
 
         RefusedError and FailedError are the final answers, at once when they are decided. What else perform
         raises passes as it is, and is not repeated. Cancelled, its work is cancelled and nobody is answered.
+        gone: asked before each attempt begins and is written; true when who asked has left: none does then.
         """
         runtime = self._runtime
         if runtime is None:
@@ -302,7 +314,7 @@
         hosts = ask.hosts or len(self._view.members)
         request = ask.request or token_hex(8)
         asked = arrival(ask, request, hosts, self.names, self.core, clock.now_us(), give_up_us)
-        call = _Call(perform, self.source.find)
+        call = _Call(perform, self.source.find, gone)
         if not runtime.submit(asked, call):
             raise ValueError(f"request: {asked.request} is open already")
         self._open.add(call.final)
--- a/harriertide/library/web.py
+++ b/harriertide/library/web.py
@@ -19,6 +19,7 @@
 
 from aiohttp import web
 
+from harriertide.http.quiet import ended
 from harriertide.library.bodies import Holding
 from harriertide.library.broker import Broker
 from harriertide.library.types import Ask, Attempt, BoxError, FailedError, NotWrittenError, RefusedError
@@ -91,7 +92,8 @@
             return await handler(request)
 
         try:
-            return await self.broker.call(ask, perform)
+            # aiohttp lets a handler run on when its client has gone
+            return await self.broker.call(ask, perform, lambda: ended(request.transport))
         except (RefusedError, FailedError, BoxError):
             if last and last[-1].begun:
                 _break_off(request)
--- a/harriertide/objects/jobs.py
+++ b/harriertide/objects/jobs.py
@@ -13,7 +13,9 @@
 from harriertide.decide import api
 from harriertide.engine.log import log
 from harriertide.engine.runtime import Attempt, Ending
+from harriertide.http.clients import ASKER
 from harriertide.http.nodes import BODY_BYTES, Body, BrokenError, Incoming, NodeClient, outcome
+from harriertide.http.quiet import ended
 
 CHUNK_BYTES = 64 * 1024
 LATER = frozenset((408, 425, 429))  # statuses of 4xx by which HTTP itself says to come again
@@ -119,6 +121,11 @@
         self._target = f"/{bucket}/{blob}"
         self.denied = False  # a box has refused for good: asking again would not help
         self.final: asyncio.Future[ev.Answer] = asyncio.get_running_loop().create_future()
+        self._asker = ASKER.get()
+
+    def gone(self) -> bool:
+        """Whether the client that this is asked for has closed its connection, or its side of it."""
+        return self._asker is not None and ended(self._asker)
 
     def answer(self, answer: ev.Answer) -> None:
         """Hand the final answer to who waits for it."""
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -21,6 +21,7 @@
 from harriertide.engine.runtime import Attempt, Ending, Runtime
 from harriertide.http.clients import ClientLine, FrontServer, Room
 from harriertide.http.nodes import NodeClient, Reply
+from harriertide.http.quiet import ended
 from harriertide.platform.fields import Fields, MalformedError, passed_on, read_arrival, read_fields
 
 BODY_BYTES = 64 * 1024
@@ -50,6 +51,10 @@
         rows = [*self._rows, (b"X-Budget-Ms", b"%d" % wait_ms)]
         return await self._client.exchange(attempt, self._method, self._target, rows, self._body)
 
+    def gone(self) -> bool:
+        """Whether the client has closed its connection, or its side of it."""
+        return ended(self._line.transport)
+
     def answer(self, answer: ev.Answer) -> None:
         """Write the final answer to the connection that waits for it."""
         if answer.kind == "served" and isinstance(answer.reply, Reply):
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -60,6 +60,9 @@
         await asyncio.Event().wait()
         raise AssertionError
 
+    def gone(self) -> bool:
+        return False
+
     def answer(self, answer: ev.Answer) -> None:
         pass
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,241 @@
+"""Where two events cross: each test holds the one until the other has happened, on real sockets.
+
+Clients are plain sockets driven from the loop's own thread: what they do between two turns of the loop has
+happened, for the system, before the broker's loop hears of any of it. docs/design/crossings.md lists them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from aiohttp import web
+
+from harriertide.cli import daemon as daemons
+from harriertide.cli.daemon import Config, Daemon
+from harriertide.config import model
+from harriertide.core import events as ev
+from harriertide.decide import api
+from harriertide.decide.settings import from_wire, names_from_wire
+from harriertide.http import clients
+from harriertide.library.broker import Broker
+from harriertide.library.sources import Box
+from harriertide.library.types import Ask, Attempt, BoxError, FailedError
+from harriertide.library.web import Guard
+from harriertide.platform.peers import address
+from tests.scenario import Line, Stand, World
+from tests.test_net import OPERATOR, WIRE
+
+FLOOD = b"x" * 40_000  # what a system takes for a program that does not read
+
+
+class House:
+    """A daemon with one stand-in box."""
+
+    def __init__(self, daemon: Daemon, box: Stand, port: int) -> None:
+        self.daemon, self.box, self.port = daemon, box, port
+        self.made, self.stopped = 0, False
+
+    async def stop(self) -> None:
+        """SIGTERM's course."""
+        self.stopped = True
+        await self.daemon.stop()
+
+    def client(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port))
+
+    def request(self, method: str = "GET", body: bytes = b"") -> bytes:
+        self.made += 1
+        return (
+            f"{method} /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: id{self.made}\r\nX-Call-Class: page-read\r\n"
+            "X-Storage-Class: gold\r\nX-Budget-Ms: 1500\r\n"
+            "X-Extent: volume=00000000000000aa,units=2,shard=0,hosts=1\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+    async def asked(self) -> Line:
+        """The next request that the box gets."""
+        async with asyncio.timeout(5):
+            return (await self.box.asked.get())[3]
+
+    async def settle(self) -> None:
+        """Until all that can follow has: attempts leave a gap behind each other, and may connect first."""
+        await asyncio.sleep(0.15)
+        assert self.daemon.core.owed() == 0
+
+    async def read(self, client: socket.socket) -> bytes:
+        """All that a client gets until the end of its connection; ConnectionResetError where it was reset."""
+        client.setblocking(False)
+        loop, got = asyncio.get_running_loop(), b""
+        async with asyncio.timeout(5):
+            while data := await loop.sock_recv(client, 65536):
+                got += data
+        return got
+
+
+def answer(line: Line, status: int = 200) -> None:
+    line.writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\nok" % status)
+
+
+def inside(play: Callable[[House], Awaitable[None]], objects: str = "", wire: dict = WIRE) -> None:  # type: ignore[type-arg]
+    """Play it on the platform's front, or on the object front with its catalogue at this path."""
+
+    async def main() -> None:
+        box, discovery = Stand(), Stand()
+        ports = {"b1": await box.start(), "s": await discovery.start()}
+        if objects:
+            boxes = {"b1": {"address": f"127.0.0.1:{ports['b1']}", "shard": 0}}
+            daemon = Daemon(None, model.read_operator({**OPERATOR, "boxes": boxes, "catalogue": objects}))
+        else:
+            host = World({}, ports, None).host("b1", "up")
+            config = Config(
+                name="n", listen=address("127.0.0.1:0"), discovery=f"127.0.0.1:{ports['s']}", seed=1,
+                settings=from_wire(wire), names=names_from_wire(wire), peer_listen=None, peers=[],
+                known={"seq": 7, "whole": True, "hosts": [host]}, raw_settings=wire,
+            )  # fmt: skip
+            daemon = Daemon(config, None)
+        await daemon.start()
+        house = House(daemon, box, daemon.port(0))
+        try:
+            await play(house)
+        finally:
+            if not house.stopped:
+                await daemon.stop()
+            await box.close()
+            await discovery.close()
+
+    asyncio.run(main())
+
+
+@pytest.fixture(autouse=True)
+def short(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A stop takes no longer than it must."""
+    for name, seconds in {"ACCEPT_S": 0.05, "LONGEST_S": 0.3, "SLACK_S": 0.1, "LAST_S": 0.1}.items():
+        monkeypatch.setattr(daemons, name, seconds)
+
+
+# --- a client that left --------------------------------------------------------------------------
+
+
+def test_no_further_attempt_begins_behind_a_close_that_the_loop_has_not_read() -> None:
+    """Its close lies behind bytes that are not read, as reading is paused; then its box fails it."""
+
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(house.request())
+        line = await house.asked()
+        (mine,) = house.daemon.room.lines("busy")
+        assert isinstance(mine.transport, asyncio.Transport)
+        mine.transport.pause_reading()
+        client.sendall(FLOOD)
+        client.close()
+        answer(line, 500)
+        await house.settle()
+        assert house.box.asked.empty() and house.daemon.core.counts["left"] == 1
+
+    inside(play)
+
+
+def test_requests_whose_clients_leave_in_the_turn_in_which_they_come_are_not_sent() -> None:
+    """Ten at once, request and close in one; a kept connection to the box lies ready for the first."""
+
+    async def play(house: House) -> None:
+        first = house.client()
+        first.sendall(house.request())
+        answer(await house.asked())
+        while house.daemon.core.counts["served"] == 0:
+            await asyncio.sleep(0)
+        crowd = [house.client() for _ in range(10)]
+        while len(house.daemon.room) < 11:
+            await asyncio.sleep(0)
+        for client in crowd:
+            client.sendall(house.request())
+            client.close()
+        while house.daemon.core.counts["taken"] < 11:
+            await asyncio.sleep(0)
+        await house.settle()
+        assert house.box.asked.empty() and house.daemon.core.counts["left"] == 10
+        first.close()
+
+    inside(play)
+
+
+def test_the_object_front_begins_nothing_for_a_client_that_left_unread(tmp_path: Path) -> None:
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(b"PUT /v/key HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab")
+        line = await house.asked()
+        (mine,) = house.daemon.room.lines("busy")
+        assert isinstance(mine.transport, asyncio.Transport)
+        mine.transport.pause_reading()
+        client.sendall(FLOOD)
+        client.close()
+        answer(line, 500)
+        await asyncio.sleep(0.15)
+        assert house.box.asked.empty() and house.daemon.core.counts["left"] == 1
+
+    inside(play, objects=str(tmp_path / "catalogue"))
+
+
+def test_the_library_runs_nothing_again_for_one_who_left() -> None:
+    """aiohttp lets a handler run on when its client has gone; here it has gone unread."""
+
+    async def main() -> None:
+        ran = 0
+        left = asyncio.Event()
+        settings = from_wire(WIRE)
+        broker = Broker(replace(settings, shards=1), [Box("b1", 0, "127.0.0.1:1")], seed=1)
+
+        async def handler(request: web.Request) -> web.Response:
+            nonlocal ran
+            ran += 1
+            assert request.transport is not None
+            request.transport.pause_reading()  # type: ignore[attr-defined]
+            left.set()
+            while ran == 1 and not gone:
+                await asyncio.sleep(0)
+            raise BoxError("error")
+
+        gone: list[bool] = []
+        guard = Guard(broker, lambda request: Ask("v", shard=0))
+        app = web.Application(middlewares=[guard.middleware])
+        guard.attach(app)
+        app.router.add_get("/", handler)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        client = socket.create_connection(runner.addresses[0][:2])
+        client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await left.wait()
+        client.sendall(FLOOD)
+        client.close()
+        gone.append(True)
+        await asyncio.sleep(0.15)
+        assert ran == 1 and broker.core.counts["left"] == 1 and broker.core.owed() == 0
+        await runner.cleanup()
+
+    asyncio.run(main())
+
+
+def test_a_call_of_the_library_for_one_who_left_ends_at_once() -> None:
+    async def main() -> None:
+        gone: list[bool] = []
+
+        async def perform(attempt: Attempt) -> None:
+            gone.append(True)
+            raise BoxError("error")
+
+        async with Broker(from_wire(WIRE), [Box("b1", 0, "127.0.0.1:1")], seed=1) as broker:
+            async with asyncio.timeout(0.5):
+                with pytest.raises(FailedError):
+                    await broker.call(Ask("v", shard=0), perform, lambda: bool(gone))
+            await asyncio.sleep(0)
+            assert len(gone) == 1 and broker.core.owed() == 0
+
+    asyncio.run(main())
--- a/tests/test_middlewares.py
+++ b/tests/test_middlewares.py
@@ -226,14 +226,14 @@
 
     slow = broker.call
 
-    async def slower(ask: Ask, perform: Any) -> Any:
+    async def slower(ask: Ask, perform: Any, *more: Any) -> Any:
         async def first(attempt: Attempt) -> Any:
             try:
                 await asyncio.Event().wait()
             finally:
                 ends.append("ended")
 
-        return await slow(ask, first)
+        return await slow(ask, first, *more)
 
     broker.call = slower  # type: ignore[method-assign]
     asyncio.run(main())
