End clients' connections in order: a request on its way was answered by a reset

Seen: tests/test_crossings.py. A resting connection was looked at for unread bytes and aborted; its descriptor closes a turn of the loop later, and a request that came in between was answered by a reset. After SIGTERM a request whose last bytes came in the turn of the last answers was taken and sent on, and its connection closed 20 ms later. Lines: ClientLine.drop and Room._shed in http/clients.py, PlatformLine.part (paused reading, so what came lay unread at the close), Daemon.stop between ev.Closing and Room.close. Change: one way to end a connection (ClientLine.part): this side is ended, what still comes is read and thrown away, up to 256 KiB, until the client ends its side or 0.3 s are over. Where the descriptor is needed at once the end still goes out ahead of the close. After the last answers of a stop nothing is taken: what is read is refused, and clients get 0.15 s to read (SIGKILL comes 0.3 s later at the soonest).

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -39,7 +39,8 @@
 # After SIGTERM: new connections are taken this long. Then those that clients keep are served on, as long as
 # a request may take (LONGEST_S at most) and a little less than SLACK_S more; what is open by then is refused.
 ACCEPT_S, LONGEST_S, SLACK_S = 0.5, 3.0, 0.4
-LAST_S = 0.3  # before that end no further request is taken
+LAST_S = 0.3  # before that end no connection is kept after its answer
+PART_S = 0.15  # after it clients may read their last answers: a close on bytes unread would reset them away
 
 
 class BadConfigError(PlainError):
@@ -271,8 +272,12 @@
         while self._busy() and loop.time() < finish_by:
             self.room.close_idle()  # also what was about to be read the last time; those at work close then
             await until(loop.time() + 0.02)
+        self.front.stopped = True  # what is still read is refused, never sent on
         self.runtime.post(ev.Closing())
-        await until(loop.time() + 0.02)  # the last answers on their way out
+        await until(loop.time() + 0.02)
+        while len(self.room) and loop.time() < finish_by + PART_S:  # the last answers are on their way out
+            self.room.close_idle()
+            await until(loop.time() + 0.02)
         self.room.close()
         if self.watch is not None:
             await self.watch.close()
--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -1,7 +1,9 @@
 """Connections of clients, of all listeners: bounds on how many there are and on how long one may hold one.
 
 A connection is silent (nothing has come yet), reading (a part of a request has come), busy (a request is
-open on it), idle (kept after an answer) or parting (answered for good, about to be closed).
+open on it), idle (kept after an answer) or parting: its last answer is written and this side of it is ended.
+What still comes then is read and thrown away, until the client ends its side too or PART_S is over: closing
+on bytes that were not read resets the connection, and takes an answer with it that is still on its way.
 """
 
 from __future__ import annotations
@@ -25,7 +27,8 @@
 READ_S = 2.4
 IDLE_S = 15.0  # kept after an answer
 SPARE_S = 2.0  # kept after an answer, while connections are short
-PART_S = 0.3  # for the last answer to be read: closing on bytes unread would reset it away
+PART_S = 0.3  # for the client to read its last answer, and to end its side
+PART_BYTES = 256 * 1024  # are thrown away meanwhile; more is left unread, as a flood is not to cost others
 STUCK_S = 10.0  # for an answer that its client does not read
 SWEEP_S = 0.1
 SHORT = 0.3  # of the bound: from here on connections are short; clients may hold a third of all descriptors
@@ -60,6 +63,9 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        if self.state == "parting":
+            self.discard(data)
+            return
         if self.state in ("silent", "idle"):
             self.room.move(self, "reading")
         super().data_received(data)
@@ -68,9 +74,27 @@
         """Bytes of answers that are still to be written."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
+    def part(self) -> None:
+        """End this side in order, behind what is still to be written. Nothing more is taken from it."""
+        assert self.transport is not None
+        self.room.move(self, "parting")
+        try:
+            self.transport.write_eof()
+        except (OSError, RuntimeError):  # it is gone already
+            self.drop()
+
+    def discard(self, data: bytes) -> None:
+        """What came after this side was ended."""
+        self.thrown += len(data)
+        if self.thrown > PART_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+
     def drop(self) -> None:
-        """End it now."""
+        """End it now: this side in order first, as the other may have bytes on their way."""
         transport = self.transport
+        if transport is not None and (end := transport.get_extra_info("socket")) is not None:
+            with suppress(OSError):  # it is gone already
+                end.shutdown(socket.SHUT_WR)
         self.force_close()
         if transport is not None:
             transport.abort()
@@ -95,6 +119,10 @@
     def __len__(self) -> int:
         return sum(map(len, self._lines.values()))
 
+    def lines(self, state: State) -> list[ClientLine]:
+        """Those in one state, the longest in it first."""
+        return list(self._lines[state])
+
     def admit(self, line: ClientLine) -> None:
         """A new connection; past the bound one that is held for nothing makes room, or it goes itself."""
         self.counts["accepted"] += 1
@@ -128,10 +156,10 @@
             ("parting", 0.0), ("silent", 0.25), ("idle", SPARE_S), ("silent", 0.02), ("idle", 0.0),
             ("reading", 0.5),
         )  # fmt: skip
-        return any(self._shed(state, age, 1) for state, age in ways)
+        return any(self._shed(state, age, 1, hurry=True) for state, age in ways)
 
-    def _shed(self, state: State, age_s: float, most: int) -> int:
-        """Close up to so many that have been in a state for so long."""
+    def _shed(self, state: State, age_s: float, most: int, hurry: bool = False) -> int:
+        """Close up to so many that have been in a state for so long; hurry: their descriptors are needed."""
         due, shed = self._loop.time() - age_s, 0
         for line in list(self._lines[state]) if self._lines[state] else ():
             if shed >= most:
@@ -142,9 +170,12 @@
             if line.unsent() and self._loop.time() < line.since + STUCK_S:
                 continue
             self.counts[f"shed_{state}"] += 1
+            shed += 1
+            if state in ("silent", "idle") and not hurry:
+                line.part()  # a request may be on its way, and is not to be answered by a reset
+                continue
             self._lines[state].pop(line)
             line.drop()
-            shed += 1
         return shed
 
     def _sweep(self) -> None:
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -103,6 +103,9 @@
         """
         if not data:  # the reader of a body has caught up; none is longer than what is read ahead
             return
+        if self.state == "parting":
+            self.discard(data)
+            return
         self._closing = self._closing or self.state == "busy"
         if self._closing or self._force_close:
             return
@@ -180,17 +183,6 @@
         self._closing, self._body = True, None
         self.respond(status, f"{reason}\n".encode())
 
-    def part(self) -> None:
-        """Close once the answer was read. What still comes is not even taken from the system."""
-        self._closing = True
-        assert self.transport is not None
-        self.room.move(self, "parting")
-        try:
-            self.transport.pause_reading()
-            self.transport.write_eof()
-        except OSError:  # it is gone already
-            self.drop()
-
 
 class PlatformServer(FrontServer):
     """aiohttp's low-level server for the platform's front."""
@@ -211,6 +203,7 @@
         self.counts: Counter[str] = Counter()
         self.ready, self.names = True, names
         self.last = False  # each answer is the last on its connection
+        self.stopped = False  # nothing is sent on any more
         self._runtime, self._client = runtime, client
         self._second, self._date = 0, ""
 
@@ -233,6 +226,9 @@
         if path != SERVICE:
             line.refuse(404, "no such route")
             return
+        if self.stopped:
+            line.respond(503, b"refused: trying again is harmless\n")
+            return
         runtime = self._runtime
         try:
             if body and message.method == "GET":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -239,3 +239,155 @@
             assert len(gone) == 1 and broker.core.owed() == 0
 
     asyncio.run(main())
+
+
+# --- the end of a client's connection ------------------------------------------------------------
+
+
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_ended_in_order_and_not_sent_on() -> None:
+    """The broker ends its side; the request comes before it could hear of that, and gets no reset."""
+
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not house.daemon.room.lines("idle"):
+            await asyncio.sleep(0)
+        house.daemon.room.close_idle()
+        client.sendall(house.request())
+        got = await house.read(client)
+        assert got.count(b"HTTP/1.1") == 1 and got.endswith(b"ready\n")
+        client.close()
+        while len(house.daemon.room):
+            await asyncio.sleep(0)
+        assert house.box.asked.empty() and house.daemon.core.counts["taken"] == 0
+
+    inside(play)
+
+
+def test_a_request_that_crosses_the_close_of_a_connection_that_must_make_room_sees_its_end_first() -> None:
+    """There its descriptor is needed at once: its end goes out before the reset for unread bytes."""
+
+    async def play(house: House) -> None:
+        client, more = house.client(), None
+        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not house.daemon.room.lines("idle"):
+            await asyncio.sleep(0)
+        house.daemon.room.most = 1
+        more = house.client()
+        while house.daemon.room.counts["shed_idle"] == 0:
+            await asyncio.sleep(0)
+        with suppress(ConnectionResetError):
+            assert (await house.read(client)).endswith(b"ready\n")
+        assert len(house.daemon.room) == 1 and house.daemon.core.counts["taken"] == 0
+        more.close()
+
+    inside(play)
+
+
+def test_an_answer_in_front_of_bytes_that_were_not_asked_for_is_read_whole() -> None:
+    """A client that sends on while it is answered for good: that is read, so nothing is reset away."""
+
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not house.daemon.room.lines("parting"):
+            await asyncio.sleep(0)
+        client.sendall(house.request() * 3)
+        got = await house.read(client)
+        assert got.startswith(b"HTTP/1.1 404") and got.endswith(b"no such route\n")
+        client.close()
+        assert house.daemon.core.counts["taken"] == 0
+
+    inside(play)
+
+
+def test_a_flood_behind_the_last_answer_is_read_no_further_than_its_bound() -> None:
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not house.daemon.room.lines("parting"):
+            await asyncio.sleep(0)
+        (mine,) = house.daemon.room.lines("parting")
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        with suppress(ConnectionError):
+            async with asyncio.timeout(2):
+                for _ in range(1000):
+                    await loop.sock_sendall(client, FLOOD)
+        assert clients.PART_BYTES < mine.thrown <= clients.PART_BYTES + 262_144
+        assert len(house.daemon.room) == 0
+        client.close()
+
+    inside(play)
+
+
+def test_a_connection_whose_client_never_ends_its_side_goes_all_the_same() -> None:
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not house.daemon.room.lines("idle"):
+            await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        house.daemon.room.close_idle()
+        while len(house.daemon.room):
+            await asyncio.sleep(0.01)
+        assert loop.time() - begun < clients.PART_S + 2 * clients.SWEEP_S + 0.2
+        client.close()
+
+    inside(play)
+
+
+# --- SIGTERM -------------------------------------------------------------------------------------
+
+
+def test_a_request_that_comes_whole_behind_the_last_answers_is_refused_and_not_sent_on() -> None:
+    """Half of it is there all along; the rest comes in the turn in which the broker answers what is open."""
+
+    async def play(house: House) -> None:
+        daemon, client = house.daemon, house.client()
+        whole = house.request("PUT", b"body")
+        client.sendall(whole[:-2])
+        while not daemon.room.lines("reading"):
+            await asyncio.sleep(0)
+        post = daemon.runtime.post
+
+        def crossed(event: ev.Event) -> None:
+            post(event)
+            if isinstance(event, ev.Closing):
+                client.sendall(whole[-2:])
+
+        daemon.runtime.post = crossed  # type: ignore[method-assign]
+        stopping = asyncio.create_task(house.stop())
+        got = await house.read(client)
+        client.close()
+        await stopping
+        assert got.startswith(b"HTTP/1.1 503") and b"Connection: close" in got
+        assert house.box.asked.empty() and daemon.core.counts["taken"] == 0
+
+    inside(play)
+
+
+def test_a_request_that_is_open_at_the_end_of_a_stop_has_its_answer_read_whole() -> None:
+    """Its box hangs; its client has sent more behind it."""
+
+    async def play(house: House) -> None:
+        daemon, client = house.daemon, house.client()
+        client.sendall(house.request())
+        await house.asked()
+        stopping = asyncio.create_task(house.stop())
+        post = daemon.runtime.post
+
+        def crossed(event: ev.Event) -> None:
+            post(event)
+            if isinstance(event, ev.Closing):
+                client.sendall(house.request())
+
+        daemon.runtime.post = crossed  # type: ignore[method-assign]
+        got = await house.read(client)
+        client.close()
+        await stopping
+        assert got.startswith(b"HTTP/1.1 503") and got.count(b"HTTP/1.1") == 1
+        assert daemon.core.counts["attempts"] == 1
+
+    inside(play)
