Hold the window of a repeat at the write: a late connection carried one beyond it

Seen: tests/test_crossings.py, a class whose repeats are dropped for 0.4 s, a box that fails the first attempt, and a connection for the second that comes up after 0.56 s: it was written. Lines: Reducer.may_write, which held drains, deadlines, limits and cold nodes at the write, and not the window that rules._in_group looks at when it decides. Ruled out: the window's start (the decision of the first attempt that may have run, which is before its write). Change: the reducer keeps that moment and turns the write back as moot, which ends the request, with the module's margin of 50 ms. The same for what may not be repeated at all, whatever the module says.

--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -12,7 +12,7 @@
 
 from harriertide.core import events as ev
 from harriertide.decide import api
-from harriertide.decide.rules import NEVER_RAN, NO_LIFE, Scheduler
+from harriertide.decide.rules import MARGIN_US, NEVER_RAN, NO_LIFE, Scheduler
 from harriertide.decide.state import Cell
 
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
@@ -52,6 +52,7 @@
     made: int = 0
     first_us: int = 0  # when its first attempt was decided
     reached: bool = False  # an attempt may have come to a box
+    maybe_us: int = 0  # when the first attempt that may have run was decided; 0: none
     out: int = -1  # the attempt that is out; -1: none
     node: str = ""
     sent_us: int = 0
@@ -117,8 +118,8 @@
     def may_write(self, request: str, attempt: int, now_us: int) -> api.OutcomeKind | None:
         """Asked right before the first byte leaves: None, or how the attempt ends unwritten.
 
-        Guards against sends that were decided before a drain was told, or before the client left, and
-        waited for a connection meanwhile.
+        Guards against sends that were decided before a drain was told, before the client left, or while what
+        may have run might be repeated, and waited for a connection meanwhile.
         """
         taken = self._taken.get(request)
         if taken is None or taken.answered or taken.out != attempt:
@@ -129,6 +130,14 @@
         if self.barred is not None and self.barred(taken.node):
             self.counts["barred"] += 1
             return "full"
+        kind = self.settings.classes[taken.arrival.request_class]
+        if taken.maybe_us and (
+            kind.effect == "unsafe"
+            or (kind.effect == "keyed" and now_us + MARGIN_US > taken.maybe_us + kind.window_us)
+        ):
+            # it was in its window when it was decided, and has waited for a connection since
+            self.counts["window_over"] += 1
+            return "moot"
         if now_us >= taken.stop_us:
             return "full"  # it would be closed at once: nothing ran, and nothing is wrong with the box
         limited = self.settings.plans[taken.arrival.plan].limit > 0 and not taken.reached
@@ -199,6 +208,8 @@
         self.counts[f"outcome_{event.kind}"] += 1
         node, taken.out = taken.node, -1
         taken.reached = taken.reached or event.kind not in NEVER_RAN
+        if taken.reached and not taken.maybe_us:
+            taken.maybe_us = taken.sent_us
         if self.barred is None or node not in self._nodes:
             pass  # nobody asks
         elif event.kind in NO_LIFE:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -391,3 +391,69 @@
         assert daemon.core.counts["attempts"] == 1
 
     inside(play)
+
+
+# --- nodes ---------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("part", [0.4, 1.4])
+def test_a_repeat_that_waits_for_a_connection_beyond_its_window_is_not_written(part: float) -> None:
+    """Repeats are dropped for 0.4 s only; the second connection comes up late, within that or behind."""
+    window_us = 400_000
+    wire = {**WIRE, "classes": [{**WIRE["classes"][0], "effect": "deduplicated", "dedupScope": "all"}]}
+    wire["classes"][0]["windowUs"] = window_us
+    wire["limits"] = {**WIRE["limits"], "connectTimeoutUs": 2_000_000}
+    late = [0.0, part * window_us / 1e6]
+
+    async def play(house: House) -> None:
+        pool = house.daemon.client.pool
+        up = pool.open
+
+        async def slow(where: str):  # type: ignore[no-untyped-def]
+            line = await up(where)
+            await asyncio.sleep(late.pop(0))
+            return line
+
+        pool.open = slow  # type: ignore[method-assign]
+        client = house.client()
+        client.sendall(house.request())
+        line = await house.asked()
+        line.writer.write(b"HTTP/1.1 500 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        if part < 1:
+            answer(await house.asked())
+        while house.daemon.core.owed():
+            await asyncio.sleep(0.01)
+        assert house.box.asked.empty()
+        assert house.daemon.core.counts["served"] == (part < 1)
+        client.close()
+
+    inside(play, wire=wire)
+
+
+def test_the_window_of_a_repeat_runs_from_the_first_attempt_that_may_have_run() -> None:
+    """Asked at the write, by the reducer alone: one that never ran opens no window."""
+    from harriertide.core.reducer import Reducer
+
+    kind = api.RequestClass(
+        aim_us=900_000, deadline_us=1_000_000, effect="keyed", group="all", window_us=300_000
+    )
+    settings = replace(from_wire(WIRE), classes=(kind,))
+
+    class Scripted:
+        def decide(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+            return [
+                api.Send("r", "b1", 1_000_000)
+                for event in events
+                if isinstance(event, (api.Arrival, api.Outcome)) and getattr(event, "kind", "") != "moot"
+            ]
+
+    core = Reducer(settings, 1, lambda settings, seed: Scripted())
+    core.step(0, [ev.Listed(api.NodeList("held", (api.NodeEntry("b1", 0),)))])
+    core.step(0, [ev.Arrived(api.Arrival("r", 0, 0, "v", 0, 1_000_000))])
+    core.step(200_000, [ev.Ended("r", 0, "connect_failed")])
+    assert core.may_write("r", 1, 400_000) is None  # nothing has run
+    core.step(400_000, [ev.Ended("r", 1, "reset")])  # decided at 200 ms
+    assert core.may_write("r", 2, 440_000) is None
+    assert core.may_write("r", 2, 460_000) == "moot"  # its end less what a write may take to arrive
+    core.step(450_000, [ev.Ended("r", 2, "full")])
+    assert core.may_write("r", 3, 460_000) == "moot"
