Name every key of a configuration that can't be used: some ended the start with a trace

Seen: tests/test_deployments.py, 31 configurations with one value off. On the text before, no classes or no plans, a peer that is no address and a `known` that is no list were a traceback and exit 1 at the start; names, zones, limits, listen and seed were a line without their key ("invalid literal for int()"). Lines: read_config in cli/daemon.py, names_from_wire in decide/settings.py, read_limits in http/limits.py: the settings were read key by key, what stands beside them was not. Change: all of it is read by the same Part, which names the path. `maxRetryAfterUs` may be missing. Two classes or plans of one name are refused. Tests: the 31, and a scenario with only what must be there: one class that may not be repeated, one grade, a deadline of 80 ms, one attempt.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
+from string import hexdigits
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -18,7 +19,7 @@
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
 from harriertide.decide import api
-from harriertide.decide.settings import Names, PlainError, from_wire, in_places, names_from_wire
+from harriertide.decide.settings import Names, Part, PlainError, from_wire, in_places, names_from_wire
 from harriertide.engine.clock import Clock, until
 from harriertide.engine.counts import fields
 from harriertide.engine.log import adopt_libraries, log
@@ -62,12 +63,21 @@
     known: dict[str, Any]
     writes: tuple[bool, ...] = ()
     raw_settings: dict[str, Any] = field(default_factory=dict)
-    limits: Limits = field(default_factory=lambda: read_limits({}))
+    limits: Limits = field(default_factory=read_limits)
 
 
 _LOCAL = Names({}, {}, {}, connect_us=250_000, idle_us=15_000_000)  # without a platform
 
 
+def _check_address(key: str, text: str) -> None:
+    """ValueError where it should be host:port and is not."""
+    if key == "name" or (key == "peer_listen" and not text):
+        return
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{key}: must be host:port")
+
+
 def read_config(environment: Mapping[str, str], held: Config | None = None) -> Config:
     """LB_CONFIG, with LB_NAME, LB_LISTEN and LB_DISCOVERY over it where they are set.
 
@@ -84,29 +94,42 @@
     except orjson.JSONDecodeError as fault:
         raise BadConfigError(f"LB_CONFIG is not JSON: {fault}") from None
     try:
-        listens = str(raw.get("peer_listen") or "")
+        top = Part(raw, "")
         if held is not None:
             environment = {}
-        name = environment.get("LB_NAME") or str(raw["name"])
-        listen = address(environment.get("LB_LISTEN") or raw["listen"])
-        discovery = environment.get("LB_DISCOVERY") or str(raw["discovery"])
+        keys = ("name", "listen", "discovery")
+        stated = {key: environment.get(f"LB_{key.upper()}") or top.text(key) for key in keys}
+        listens, peers = top.text("peer_listen", ""), top.texts("peers")
+        for key, text in [*stated.items(), ("peer_listen", listens), *(("peers", peer) for peer in peers)]:
+            _check_address(key, text)
+        seed = str(raw.get("seed") or "0")
+        if not set(seed) <= set(hexdigits):
+            raise ValueError("seed: must be hex digits")
         settings = raw["settings"]
+        from_wire(settings)  # good by itself, before it is put in the places of those held
+        names = names_from_wire(settings)
         if held is not None:
-            from_wire(settings)  # good by itself, before it is put in the places of those held
             settings = in_places(settings, held.raw_settings)
+            names = names_from_wire(settings, raw["settings"])
+        known = raw.get("known") or {"seq": 0, "whole": True, "hosts": []}
+        try:
+            Directory(names.zones).read(known, "held")
+        except Exception as fault:
+            raise ValueError(f"known: is no list of nodes: {type(fault).__name__} {fault}") from None
+        domain = Part(settings, "settings").part("domain")
         return Config(
-            name=name,
-            listen=listen,
-            discovery=discovery,
-            seed=int(str(raw.get("seed") or "0"), 16),
+            name=stated["name"],
+            listen=address(stated["listen"]),
+            discovery=stated["discovery"],
+            seed=int(seed, 16),
             settings=from_wire(settings),
-            names=names_from_wire(settings, raw["settings"]),
+            names=names,
             peer_listen=address(listens) if listens else None,
-            peers=[str(peer) for peer in raw.get("peers") or []],
-            known=raw.get("known") or {"seq": 0, "whole": True, "hosts": []},
-            writes=tuple(bool(write) for write in settings["domain"].get("writes") or ()),
+            peers=peers,
+            known=known,
+            writes=domain.flags("writes"),
             raw_settings=settings,
-            limits=read_limits(raw.get("limits") or {}),
+            limits=read_limits(top.part("limits") if raw.get("limits") else Part({}, "limits")),
         )
     except KeyError as gap:
         raise BadConfigError(f"LB_CONFIG: {gap.args[0]} is missing or unknown") from None
@@ -136,7 +159,7 @@
         self.core, self.seed = Reducer(settings, seed), seed
         self.runtime = Runtime(self.core, Clock(loop))
         self.directory = Directory(names.zones)
-        limits = config.limits if config is not None else read_limits({})
+        limits = config.limits if config is not None else read_limits()
         self.room = Room(limits)
         self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits)
         self.front = Front(self.runtime, self.client, names)
--- a/harriertide/decide/settings.py
+++ b/harriertide/decide/settings.py
@@ -27,54 +27,78 @@
 
     def __init__(self, raw: object, path: str) -> None:
         if not isinstance(raw, dict):
-            raise ValueError(f"{path}: must be an object")
+            raise ValueError(f"{path or 'the whole'}: must be an object")
         self._raw, self.path = raw, path
 
+    def _named(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
     def _get(self, name: str, default: object) -> object:
         value = self._raw.get(name)
         if value is None:
             if default is _NEEDED:
-                raise KeyError(f"{self.path}.{name}")
+                raise KeyError(self._named(name))
             return default
         return value
 
     def part(self, name: str) -> Part:
         """A part of its own."""
-        return Part(self._get(name, _NEEDED), f"{self.path}.{name}")
+        return Part(self._get(name, _NEEDED), self._named(name))
 
     def rows(self, name: str) -> list[Part]:
-        """A list of parts."""
+        """A list of parts, one at least."""
         value = self._get(name, _NEEDED)
-        if not isinstance(value, list):
-            raise ValueError(f"{self.path}.{name}: must be a list")
-        return [Part(row, f"{self.path}.{name}[{place}]") for place, row in enumerate(value)]
+        if not isinstance(value, list) or not value:
+            raise ValueError(f"{self._named(name)}: must be a list, and not empty")
+        return [Part(row, f"{self._named(name)}[{place}]") for place, row in enumerate(value)]
+
+    def text(self, name: str, default: object = _NEEDED) -> str:
+        """A text that is not empty, unless that is the default."""
+        value = self._get(name, default)
+        if not isinstance(value, str) or not (value or value == default):
+            raise ValueError(f"{self._named(name)}: must be a text")
+        return value
+
+    def texts(self, name: str) -> list[str]:
+        """A list of texts; none where the key is missing."""
+        value = self._get(name, [])
+        if not isinstance(value, list) or not all(isinstance(each, str) for each in value):
+            raise ValueError(f"{self._named(name)}: must be a list of texts")
+        return value
+
+    def flags(self, name: str) -> tuple[bool, ...]:
+        """A list of true and false; none where the key is missing."""
+        value = self._get(name, [])
+        if not isinstance(value, list) or not all(isinstance(each, bool) for each in value):
+            raise ValueError(f"{self._named(name)}: must be a list of true and false")
+        return tuple(value)
 
     def number(self, name: str, default: object = _NEEDED, least: float = 0) -> float:
         """A number of at least so much."""
         value = self._get(name, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 1e18:
-            raise ValueError(f"{self.path}.{name}: must be a number of at least {least:g}")
+            raise ValueError(f"{self._named(name)}: must be a number of at least {least:g}")
         return value
 
     def whole(self, name: str, default: object = _NEEDED, least: int = 0) -> int:
         """A whole number of at least so much."""
         value = self.number(name, default, least)
         if value != int(value):
-            raise ValueError(f"{self.path}.{name}: must be a whole number")
+            raise ValueError(f"{self._named(name)}: must be a whole number")
         return int(value)
 
     def flag(self, name: str, default: object = _NEEDED) -> bool:
         """True or false."""
         value = self._get(name, default)
         if not isinstance(value, bool):
-            raise ValueError(f"{self.path}.{name}: must be true or false")
+            raise ValueError(f"{self._named(name)}: must be true or false")
         return value
 
     def choice(self, name: str, known: Sequence[str], default: object = _NEEDED) -> str:
         """One of these words."""
         value = self._get(name, default)
         if not isinstance(value, str) or value not in known:
-            raise ValueError(f"{self.path}.{name}: must be one of {', '.join(known)}")
+            raise ValueError(f"{self._named(name)}: must be one of {', '.join(known)}")
         return value
 
 
@@ -83,6 +107,13 @@
     top = Part(raw, "settings")
     limits, safety, domain = top.part("limits"), top.part("safety"), top.part("domain")
     span_us = safety.whole("resendSpanUs", 0)
+    if top.whole("index") >= top.whole("groupSize", least=1):
+        raise ValueError("settings.index: must be below settings.groupSize")
+    for part, name in ((domain, "meanUnits"), (domain, "maxUnits"), (safety, "coldFrom")):
+        if part.number(name) == 0:
+            raise ValueError(f"{part.path}.{name}: must be above 0")
+    if safety.number("coldFrom") > 1:
+        raise ValueError("settings.safety.coldFrom: must be at most 1")
     return api.Settings(
         head=top.whole("index"),
         heads=top.whole("groupSize", least=1),
@@ -103,7 +134,7 @@
         may_tell=limits.flag("peers"),
         may_say_when=limits.flag("retryAfter"),
         may_cancel=limits.flag("cancel", False),
-        max_retry_after_us=limits.whole("maxRetryAfterUs"),
+        max_retry_after_us=limits.whole("maxRetryAfterUs", 0),
         max_attempts=limits.whole("tryLimit", least=1),
         may_probe=limits.flag("probes", False),
         tick_us=top.whole("roundUs", least=1),
@@ -167,14 +198,25 @@
     """The names of classes, plans and zones, by their places in the settings; those stated only."""
 
     def places(part: str) -> dict[str, int]:
-        known = {entry["name"] for entry in (stated or raw)[part]}
-        names = [entry["name"] for entry in raw[part]]
-        return {name: place for place, name in enumerate(names) if name in known}
+        known = _names(Part(stated or raw, "settings"), part)
+        return {name: place for place, name in enumerate(_names(top, part)) if name in known}
 
+    top = Part(raw, "settings")
+    limits = top.part("limits")
     return Names(
         classes=places("classes"),
         plans=places("plans"),
-        zones={name: place for place, name in enumerate(raw.get("zones") or [])},
-        connect_us=int(raw["limits"].get("connectTimeoutUs") or 250_000),
-        idle_us=int(raw["limits"].get("connIdleUs") or 15_000_000),
+        zones={name: place for place, name in enumerate(top.texts("zones"))},
+        connect_us=limits.whole("connectTimeoutUs", 0) or 250_000,
+        idle_us=limits.whole("connIdleUs", 0) or 15_000_000,
     )
+
+
+def _names(top: Part, part: str) -> list[str]:
+    names: list[str] = []
+    for row in top.rows(part):
+        name = row.text("name")
+        if name in names:
+            raise ValueError(f"{row.path}.name: is there twice")
+        names.append(name)
+    return names
--- a/harriertide/http/limits.py
+++ b/harriertide/http/limits.py
@@ -4,7 +4,8 @@
 
 import resource
 from dataclasses import dataclass
-from typing import Any
+
+from harriertide.decide.settings import Part
 
 OWN = 28  # standard streams, the loop's own, listeners, peers, two watches on discovery, the catalogue, logs
 SPARE_PART = 0.1  # for connections that were accepted and are not yet shed, or are closed and not yet gone
@@ -30,10 +31,11 @@
         return cls(left - boxes, boxes, answer=min(8 << 20, max(1 << 20, spare // 16)), held=spare // 3)
 
 
-def read_limits(raw: dict[str, Any]) -> Limits:
+def read_limits(stated: Part | None = None) -> Limits:
     """As the configuration states them, but never more than the system grants."""
+    stated = stated or Part({}, "limits")
     granted, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    stated, memory_mb = int(raw.get("sockets") or 1024), int(raw.get("memory_mb") or 256)
-    if stated < 64:
+    sockets, memory_mb = stated.whole("sockets", 0) or 1024, int(stated.number("memory_mb", 0)) or 256
+    if sockets < 64:
         raise ValueError("limits.sockets: must be at least 64")
-    return Limits.share(min(stated, granted) if granted > 0 else stated, memory_mb)
+    return Limits.share(min(sockets, granted) if granted > 0 else sockets, memory_mb)
