Let a request in where a crowd that says nothing has filled the connections

Seen: tests/test_run.py, one real process with 64 descriptors while discovery is away, and 300 connections that come at once and say nothing: a client behind them was closed without an answer, as none of the crowd had been silent for 20 ms and the newcomer went itself. Discovery's call came in time and no descriptor ran out, before and after. Lines: Room._make_room in http/clients.py. Change: where a request lies on the new connection, the longest silent one goes, however short that is. Tests: that one, seen to fail before; signals beside each other (SIGTERM twice, SIGHUP before and behind it) and SIGTERM before the broker serves hold what was right.

--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -129,7 +129,7 @@
         full = len(self) >= self.most
         line.since = self._loop.time()
         self._lines["silent"][line] = None
-        if full and not self._make_room():
+        if full and not self._make_room(unread(line.transport)):
             self.counts["turned_away"] += 1
             line.drop()
         if self._timer is None:
@@ -150,12 +150,17 @@
 
     # --- closing -------------------------------------------------------------------------------
 
-    def _make_room(self) -> bool:
-        """Close the connection that is missed least."""
+    def _make_room(self, asks: bool) -> bool:
+        """Close the connection that is missed least. asks: a request is there on the one that needs room.
+
+        Guards against a crowd that comes at once and says nothing: none of it has been silent for long.
+        """
         ways: tuple[tuple[State, float], ...] = (
             ("parting", 0.0), ("silent", 0.25), ("idle", SPARE_S), ("silent", 0.02), ("idle", 0.0),
             ("reading", 0.5),
         )  # fmt: skip
+        if asks:
+            ways = (*ways, ("silent", 0.0))
         return any(self._shed(state, age, 1, hurry=True) for state, age in ways)
 
     def _shed(self, state: State, age_s: float, most: int, hurry: bool = False) -> int:
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -4,13 +4,19 @@
 
 import json
 import os
+import resource
 import shlex
 import signal
+import socket
 import subprocess
 import sys
+import time
 import tomllib
 from pathlib import Path
 
+import pytest
+
+from harriertide.platform.discovery import TOLD_S
 from tests.test_net import WIRE
 
 ROOT = Path(__file__).parent.parent
@@ -55,3 +61,99 @@
         said += daemon.communicate(timeout=20)[1].splitlines()
     assert daemon.returncode == 0
     assert "WATCHED\n" in said and not [line for line in said if line.startswith("STARTED")]
+
+
+class Process:
+    """One broker as the platform starts it, on a configuration of its own."""
+
+    def __init__(self, folder: Path, discovery: str, sockets: int = 256) -> None:
+        file = folder / "config.json"
+        where = {"name": "n", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1"}
+        file.write_text(json.dumps({**where, "settings": WIRE, "limits": {"sockets": sockets}}))
+
+        def bound() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "harriertide"],
+            cwd=ROOT,
+            env={**os.environ, "LB_CONFIG": str(file)},
+            stderr=subprocess.PIPE,
+            text=True,
+            preexec_fn=bound,  # noqa: PLW1509 - no threads here
+        )
+        self.said = ""
+
+    def port(self) -> int:
+        """Where it listens, once it does."""
+        assert self.process.stderr is not None
+        while "event=serves" not in self.said:
+            line = self.process.stderr.readline()
+            assert line, self.said
+            self.said += line
+        return int(self.said.rsplit(":", 1)[1])
+
+    def end(self, *signals: signal.Signals) -> int:
+        """Send it these; how it ended."""
+        for number in signals or (signal.SIGTERM,):
+            self.process.send_signal(number)
+        self.said += self.process.communicate(timeout=20)[1]
+        return self.process.returncode
+
+
+def ready(port: int) -> bytes:
+    with socket.create_connection(("127.0.0.1", port), timeout=3) as client:
+        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        got = b""
+        while data := client.recv(65536):
+            got += data
+        return got
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_nobody_from_discovery_or_from_being_accepted(
+    tmp_path: Path,
+) -> None:
+    """Discovery is away: its port is bound and nobody listens. Clients come by hundreds and say nothing."""
+    with socket.socket() as discovery:
+        discovery.bind(("127.0.0.1", 0))
+        broker = Process(tmp_path, f"127.0.0.1:{discovery.getsockname()[1]}", sockets=64)
+        port = broker.port()
+        crowd = [socket.create_connection(("127.0.0.1", port)) for _ in range(300)]
+        try:
+            assert ready(port).startswith(b"HTTP/1.1 200")
+            discovery.listen()
+            discovery.settimeout(TOLD_S)
+            begun = time.monotonic()
+            call, _ = discovery.accept()
+            assert call.recv(65536).startswith(b"GET /registry/instances?watch=1")
+            assert time.monotonic() - begun < TOLD_S
+            call.close()
+            assert ready(port).startswith(b"HTTP/1.1 200")
+        finally:
+            for client in crowd:
+                client.close()
+            assert broker.end() == 0
+        assert "out of system resource" not in broker.said and "Too many open" not in broker.said
+
+
+@pytest.mark.parametrize(
+    "signals",
+    [
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+    ],
+)
+def test_signals_beside_each_other_end_in_an_orderly_stop(
+    signals: tuple[signal.Signals, ...], tmp_path: Path
+) -> None:
+    broker = Process(tmp_path, "127.0.0.1:1")
+    broker.port()
+    assert broker.end(*signals) == 0
+    assert "event=counters" in broker.said and "Traceback" not in broker.said
+
+
+def test_sigterm_before_it_serves_ends_it_at_once_without_a_trace(tmp_path: Path) -> None:
+    broker = Process(tmp_path, "127.0.0.1:1")
+    assert broker.end() in (0, -signal.SIGTERM)
+    assert "Traceback" not in broker.said
