Let a node's connection rest 10 ms before its next request: late second answers cross it

Lines: Pool.take in http/lines.py, which hands out the connection used last, looks for unread bytes and can't see those that are still on their way. Ruled out: anything in an answer that names its request (there is none). Change: a connection rests 10 ms (REST_S) behind an answer; another one or a new one takes a request meanwhile. A test that counts connections waits 20 ms for its second request now.

--- a/harriertide/http/lines.py
+++ b/harriertide/http/lines.py
@@ -25,6 +25,7 @@
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
 STALL_S = 0.06
+REST_S = 0.01  # behind an answer, for what a box in trouble sends some milliseconds after it
 _EOF_LINES = frozenset((204, 304))
 
 
@@ -287,12 +288,15 @@
     def take(self, address: str) -> Line | None:
         """An idle connection that is fit for a request: the one used last, so that spare ones run out.
 
-        Guards against a request on one whose close, or whose stray bytes, lie there unread.
+        Guards against a request on one whose close, or whose stray bytes, lie there unread, or are still on
+        their way: what follows an answer late would pass for the answer to the next request.
         """
-        while lines := self._by_address.get(address):
-            line = lines[-1]
+        now = self._loop.time()
+        for line in reversed(self._by_address.get(address, [])[:]):
+            if now < line.idle_since + REST_S:
+                continue
             self._forget(line)
-            if not unread(line.transport, ends=True) and self._loop.time() < line.idle_since + self.keep_s:
+            if not unread(line.transport, ends=True) and now < line.idle_since + self.keep_s:
                 return line
             line.abort()
         return None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -864,6 +864,7 @@
         wait 0.02
         b1 send bytes ta
         c expect 200 body=data
+        wait 0.02
         c send GET /api @0
         b1 expect GET /api
         b1 made 1
