Write down where two events cross, what is right there and which test forces it

docs/design/crossings.md, by the areas of the issue; tests/test_layout.py holds that each row names a test that exists. Checked, no change: six brokers that start at once while discovery is away are ready in time (tests/test_run.py).

--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -80,3 +80,21 @@
     assert not [name for name in loaded if name.split(".")[0] in HEAVY]
     private_kb = sum(int(row.split()[1]) for row in rows if row.startswith("Private_"))
     assert private_kb < 32_000, rows
+
+
+def test_every_row_of_the_crossings_names_a_test_that_exists() -> None:
+    """docs/design/crossings.md: two events, the right order, what is done, and what forces it."""
+    tests = "\n".join(path.read_text(encoding="utf-8") for path in (ROOT / "tests").glob("test_*.py"))
+    scenarios = (ROOT / "tests" / "test_net.py").read_text(encoding="utf-8")
+    page = (ROOT / "docs" / "design" / "crossings.md").read_text(encoding="utf-8")
+    rows = [line.strip("| ").split(" | ") for line in page.splitlines() if line.startswith("| ")]
+    rows = [row for row in rows if row[0] not in ("crossing", "---")]
+    assert len(rows) > 30
+    for row in rows:
+        for named in row[-1].split(", "):
+            kind, _, words = named.rpartition("net: ")
+            if kind or named.startswith("net: "):
+                assert f'    "{words}' in scenarios, row
+            else:
+                name = named.removesuffix("; test_pushed_lists")
+                assert name == "same" or f"def {name}(" in tests, row
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -20,6 +20,7 @@
 from tests.test_net import WIRE
 
 ROOT = Path(__file__).parent.parent
+READY_S = 10.0  # nine in ten of restarted brokers have to be ready by then
 # Loaded by the interpreter before the program: each start of another process and each Unix socket is written
 # down. The event loop's own pair of sockets is never bound or connected, so it does not count.
 WATCH = """
@@ -157,3 +158,20 @@
     broker = Process(tmp_path, "127.0.0.1:1")
     assert broker.end() in (0, -signal.SIGTERM)
     assert "Traceback" not in broker.said
+
+
+def test_brokers_that_start_together_while_discovery_is_away_are_soon_ready(tmp_path: Path) -> None:
+    """Six at once, with clients that come again until they are answered."""
+    with socket.socket() as discovery:
+        discovery.bind(("127.0.0.1", 0))  # and nobody listens
+        where = f"127.0.0.1:{discovery.getsockname()[1]}"
+        begun, brokers = time.monotonic(), []
+        for number in range(6):
+            (folder := tmp_path / str(number)).mkdir()
+            brokers.append(Process(folder, where))
+        try:
+            assert all(ready(broker.port()).startswith(b"HTTP/1.1 200") for broker in brokers)
+            assert time.monotonic() - begun < READY_S
+        finally:
+            ends = [broker.end() for broker in brokers]
+        assert ends == [0] * 6
