Be ready with an agent's first list: a new process went by its configuration's

Need: what an agent that pushes lists has counts as told from the first moment of a process, and the configuration's list may be old. Lines: Daemon.start said ready as soon as it listened, some turns of the loop before the agent's answer could be read; against an agent that answers late, longer. Change: where lists are pushed, /health/ready answers 503 until the first list, 2 s at most (an agent is silent while discovery is away). Where lists are asked for nothing changes. Tests: the drain in that first list, and an agent that says nothing.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -40,6 +40,7 @@
 # After SIGTERM: new connections are taken this long. Then those that clients keep are served on, as long as
 # a request may take (LONGEST_S at most) and a little less than SLACK_S more; what is open by then is refused.
 ACCEPT_S, LONGEST_S, SLACK_S = 0.5, 3.0, 0.4
+LIST_S = 2.0  # at the start an agent that says nothing, as discovery is away, is waited for so long
 LAST_S = 0.3  # before that end no connection is kept after its answer
 PART_S = 0.15  # after it clients may read their last answers: a close on bytes unread would reset them away
 
@@ -256,6 +257,8 @@
                 peers = self.peers
                 await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             if self.watch is not None:
+                if not config.settings.ask_for_list:
+                    self._wait_for_list(self.watch)
                 self.watch.follow(not config.settings.ask_for_list)
             await self._listen(config.listen, PlatformServer(self.front, self.room))
         if self.objects is not None:
@@ -265,6 +268,22 @@
         if self.upkeep is not None:
             await self.upkeep.start()
 
+    def _wait_for_list(self, watch: Watch) -> None:
+        """Ready with the first list, or LIST_S later.
+
+        What an agent has counts as told from the first moment of a process, and the list in the configuration
+        may be old.
+        """
+        self.front.ready = False
+
+        def ready() -> None:
+            timer.cancel()
+            watch.heard = lambda: None
+            self.front.ready = not self.stopping.is_set()
+
+        timer = asyncio.get_running_loop().call_later(LIST_S, ready)
+        watch.heard = ready
+
     async def _listen(self, at: tuple[str, int], web_server: FrontServer) -> None:
         self.servers.append(await listen(at, web_server))
         log("serves", on=f"{at[0]}:{self.port(-1)}")
@@ -280,6 +299,7 @@
         they keep is one that does not fail.
         """
         loop = asyncio.get_running_loop()
+        self.stopping.set()
         self.front.ready = False
         longest_s = max(kind.deadline_us for kind in self.core.settings.classes) / 1e6
         finish_by = loop.time() + min(LONGEST_S, longest_s) + SLACK_S
--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -161,6 +161,7 @@
         self._directory, self._post = directory, post
         self._task: asyncio.Task[None] | None = None
         self._old: asyncio.Task[None] | None = None
+        self.heard: Callable[[], None] = lambda: None  # called with each list that was read
         self._anew = False  # nothing was heard yet of the discovery at this address
         self._pressing = False  # what is open was opened at once, behind one that fell silent
 
@@ -293,6 +294,7 @@
             page["seq"] = self._directory.seq
         older = kind is None and not page.get("whole") and int(page["seq"]) < self._directory.seq
         self._post(ev.Listed(self._directory.read(page, kind)))
+        self.heard()
         if older:  # its whole list tells which of the two holds
             raise OlderError(f"version {page['seq']} after {self._directory.seq}")
         if current:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -127,6 +127,18 @@
         s send raw nonsense
         s expect GET /registry/instances?watch=1&after=7
         {DRAINED}""",
+    "a new process is ready with the agent's list, which may tell a drain": """
+        s expect GET /registry/instances?watch=1&after=7
+        c send GET /health/ready
+        c expect 503
+        s send 200 Transfer-Encoding=chunked
+        s send list b1=draining
+        wait 0.05
+        c send GET /health/ready
+        c expect 200
+        c send GET /api @0
+        c expect 503
+        b1 expect nothing""",
     "changes that come twice or out of order don't bring back what is gone": f"""
         {WATCHED}
         s send list b1=draining
@@ -158,6 +170,21 @@
     asyncio.run(play(script.lstrip(), objects=False, folder=tmp_path, wire=PUSHED))
 
 
+def test_a_new_process_whose_agent_says_nothing_is_ready_all_the_same(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    from harriertide.cli import daemon
+
+    monkeypatch.setattr(daemon, "LIST_S", 0.2)
+    script = """s expect GET /registry/instances?watch=1&after=7
+        c send GET /health/ready
+        c expect 503
+        wait 0.3
+        c send GET /health/ready
+        c expect 200"""
+    asyncio.run(play(script, objects=False, folder=tmp_path, wire=PUSHED))
+
+
 def test_an_agent_that_falls_silent_is_asked_again_and_heard_when_it_is_back(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
