Name clients' connections as such: connection table, lingering

Names only: Room is ConnectionTable, ClientLine and PlatformLine are ClientConnection and PlatformConnection, "parting" is "lingering" (HTTP's own word for it), PART_S is LINGER_S; the counter shed_parting follows.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -24,7 +24,7 @@
 from harriertide.engine.counts import fields
 from harriertide.engine.log import adopt_libraries, log
 from harriertide.engine.runtime import Runtime
-from harriertide.http.clients import FrontServer, Room, listen
+from harriertide.http.clients import ConnectionTable, FrontServer, listen
 from harriertide.http.limits import Limits, read_limits
 from harriertide.http.nodes import NodeClient
 from harriertide.platform.discovery import Directory, Watch
@@ -42,7 +42,7 @@
 ACCEPT_S, LONGEST_S, SLACK_S = 0.5, 3.0, 0.4
 LIST_S = 2.0  # at the start an agent that says nothing, as discovery is away, is waited for so long
 LAST_S = 0.3  # before that end no connection is kept after its answer
-PART_S = 0.15  # after it clients may read their last answers: a close on bytes unread would reset them away
+LINGER_S = 0.15  # after it clients may read their last answers: a close on bytes unread would reset them away
 
 
 class BadConfigError(PlainError):
@@ -161,7 +161,7 @@
         self.runtime = Runtime(self.core, Clock(loop))
         self.directory = Directory(names.zones)
         limits = config.limits if config is not None else read_limits()
-        self.room = Room(limits)
+        self.clients = ConnectionTable(limits)
         self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits)
         self.front = Front(self.runtime, self.client, names)
         self.watch: Watch | None = None
@@ -224,7 +224,7 @@
         self.front.names, self.directory.zones = names, names.zones
         self.client.connect_us = names.connect_us
         self.client.pool.limit(fresh.limits)
-        self.room.limit(fresh.limits)
+        self.clients.limit(fresh.limits)
         self.runtime.post(ev.Resettled(fresh.settings))
         if self.objects is not None:
             self.objects.replan(names.plans)
@@ -238,7 +238,7 @@
     def counters(self) -> dict[str, int]:
         """All counts, by part and name."""
         parts = {"core": self.core.counts, "front": self.front.counts, "boxes": self.client.counts}
-        parts |= {"clients": self.room.counts, "probes": self.probes.counts}
+        parts |= {"clients": self.clients.counts, "probes": self.probes.counts}
         if self.watch is not None and self.peers is not None:
             parts |= {"watch": self.watch.counts, "peers": self.peers.counts}
         if self.objects is not None:
@@ -260,9 +260,9 @@
                 if not config.settings.ask_for_list:
                     self._wait_for_list(self.watch)
                 self.watch.follow(not config.settings.ask_for_list)
-            await self._listen(config.listen, PlatformServer(self.front, self.room))
+            await self._listen(config.listen, PlatformServer(self.front, self.clients))
         if self.objects is not None:
-            for at, web_server in self.objects.servers(self.room):
+            for at, web_server in self.objects.servers(self.clients):
                 await self._listen(address(at), web_server)
             self.objects.start()
         if self.upkeep is not None:
@@ -313,15 +313,15 @@
         if self.objects is not None:
             self.objects.front.ready = False
         while self._busy() and loop.time() < finish_by:
-            self.room.close_idle()  # also what was about to be read the last time; those at work close then
+            self.clients.close_idle()  # also what was about to be read the last time
             await until(loop.time() + 0.02)
         self.front.stopped = True  # what is still read is refused, never sent on
         self.runtime.post(ev.Closing())
         await until(loop.time() + 0.02)
-        while len(self.room) and loop.time() < finish_by + PART_S:  # the last answers are on their way out
-            self.room.close_idle()
+        while len(self.clients) and loop.time() < finish_by + LINGER_S:
+            self.clients.close_idle()
             await until(loop.time() + 0.02)
-        self.room.close()
+        self.clients.close()
         if self.watch is not None:
             await self.watch.close()
         if self.peers is not None:
@@ -334,7 +334,7 @@
         await self.client.close()
 
     def _busy(self) -> bool:
-        return self.core.owed() > 0 or len(self.room) > 0
+        return self.core.owed() > 0 or len(self.clients) > 0
 
     async def serve(self, environment: Mapping[str, str]) -> None:
         """Serve until told to stop, then finish what is taken."""
--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -1,8 +1,8 @@
 """Connections of clients, of all listeners: bounds on how many there are and on how long one may hold one.
 
 A connection is silent (nothing has come yet), reading (a part of a request has come), busy (a request is
-open on it), idle (kept after an answer) or parting: its last answer is written and this side of it is ended.
-What still comes then is read and thrown away, until the client ends its side too or PART_S is over: closing
+open on it), idle (kept after an answer) or lingering: its last answer is written, this side of it is ended,
+and what still comes is read and thrown away, until the client ends its side too or LINGER_S is over. Closing
 on bytes that were not read resets the connection, and takes an answer with it that is still on its way.
 """
 
@@ -27,57 +27,57 @@
 READ_S = 2.4
 IDLE_S = 15.0  # kept after an answer
 SPARE_S = 2.0  # kept after an answer, while connections are short
-PART_S = 0.3  # for the client to read its last answer, and to end its side
-PART_BYTES = 256 * 1024  # are thrown away meanwhile; more is left unread, as a flood is not to cost others
+LINGER_S = 0.3  # for the client to read its last answer, and to end its side
+LINGER_BYTES = 256 * 1024  # are thrown away meanwhile; more is left unread, as a flood is not to cost others
 STUCK_S = 10.0  # for an answer that its client does not read
 SWEEP_S = 0.1
 SHORT = 0.3  # of the bound: from here on connections are short; clients may hold a third of all descriptors
-LINGER_S = 1.0  # an unread body is read on for so long, on fronts that take large ones
+BODY_LINGER_S = 1.0  # an unread body is read on for so long, on fronts that take large ones
 ACCEPTS = 4  # connections taken in one turn of the loop; more wait in the system's queue
 BACKLOG = 512
 
 # The connection of the request that is being handled, for what is asked for it
 ASKER: ContextVar[asyncio.BaseTransport | None] = ContextVar("harriertide.asker", default=None)
 
-State = Literal["silent", "reading", "busy", "idle", "parting"]
+State = Literal["silent", "reading", "busy", "idle", "lingering"]
 
 
-class ClientLine(RequestHandler):
-    """aiohttp's handler of one connection, which stands in its room under what it is doing."""
+class ClientConnection(RequestHandler):
+    """aiohttp's handler of one connection, which is kept under what it is doing."""
 
-    __slots__ = ("room", "state", "since", "thrown")
+    __slots__ = ("table", "state", "since", "discarded")
 
     def __init__(self, server: FrontServer, **named: Any) -> None:
         super().__init__(server, loop=asyncio.get_running_loop(), **named)
-        self.room = server.room
+        self.table = server.table
         self.state: State = "silent"
         self.since = 0.0
-        self.thrown = 0
+        self.discarded = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.room.admit(self)
+        self.table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self.room.forget(self)
+        self.table.forget(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        if self.state == "parting":
+        if self.state == "lingering":
             self.discard(data)
             return
         if self.state in ("silent", "idle"):
-            self.room.move(self, "reading")
+            self.table.move(self, "reading")
         super().data_received(data)
 
     def unsent(self) -> int:
         """Bytes of answers that are still to be written."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
-    def part(self) -> None:
+    def linger(self) -> None:
         """End this side in order, behind what is still to be written. Nothing more is taken from it."""
         assert self.transport is not None
-        self.room.move(self, "parting")
+        self.table.move(self, "lingering")
         try:
             self.transport.write_eof()
         except (OSError, RuntimeError):  # it is gone already
@@ -85,8 +85,8 @@
 
     def discard(self, data: bytes) -> None:
         """What came after this side was ended."""
-        self.thrown += len(data)
-        if self.thrown > PART_BYTES and self.transport is not None:
+        self.discarded += len(data)
+        if self.discarded > LINGER_BYTES and self.transport is not None:
             self.transport.pause_reading()
 
     def drop(self) -> None:
@@ -100,15 +100,15 @@
             transport.abort()
 
 
-class Room:
+class ConnectionTable:
     """All connections of clients, each under its state, the longest in that state first."""
 
     def __init__(self, limits: Limits) -> None:
         self.limit(limits)
         self.counts: Counter[str] = Counter()
         self._loop = asyncio.get_running_loop()
-        self._lines: dict[State, dict[ClientLine, None]] = {
-            "silent": {}, "reading": {}, "busy": {}, "idle": {}, "parting": {},
+        self._lines: dict[State, dict[ClientConnection, None]] = {
+            "silent": {}, "reading": {}, "busy": {}, "idle": {}, "lingering": {},
         }  # fmt: skip
         self._timer: asyncio.TimerHandle | None = None
 
@@ -119,11 +119,11 @@
     def __len__(self) -> int:
         return sum(map(len, self._lines.values()))
 
-    def lines(self, state: State) -> list[ClientLine]:
+    def lines(self, state: State) -> list[ClientConnection]:
         """Those in one state, the longest in it first."""
         return list(self._lines[state])
 
-    def admit(self, line: ClientLine) -> None:
+    def admit(self, line: ClientConnection) -> None:
         """A new connection; past the bound one that is held for nothing makes room, or it goes itself."""
         self.counts["accepted"] += 1
         full = len(self) >= self.most
@@ -135,11 +135,11 @@
         if self._timer is None:
             self._timer = self._loop.call_at(line.since + SWEEP_S, self._sweep)
 
-    def forget(self, line: ClientLine) -> None:
+    def forget(self, line: ClientConnection) -> None:
         """It is gone."""
         self._lines[line.state].pop(line, None)
 
-    def move(self, line: ClientLine, state: State) -> None:
+    def move(self, line: ClientConnection, state: State) -> None:
         """Another state. What is read first on a connection counts from when it was accepted."""
         if self._lines[line.state].pop(line, line) is line:
             return  # gone
@@ -151,12 +151,12 @@
     # --- closing -------------------------------------------------------------------------------
 
     def _make_room(self, asks: bool) -> bool:
-        """Close the connection that is missed least. asks: a request is there on the one that needs room.
+        """Close the connection that is missed least. asks: a request is there on the one that needs the room.
 
         Guards against a crowd that comes at once and says nothing: none of it has been silent for long.
         """
         ways: tuple[tuple[State, float], ...] = (
-            ("parting", 0.0), ("silent", 0.25), ("idle", SPARE_S), ("silent", 0.02), ("idle", 0.0),
+            ("lingering", 0.0), ("silent", 0.25), ("idle", SPARE_S), ("silent", 0.02), ("idle", 0.0),
             ("reading", 0.5),
         )  # fmt: skip
         if asks:
@@ -177,7 +177,7 @@
             self.counts[f"shed_{state}"] += 1
             shed += 1
             if state in ("silent", "idle") and not hurry:
-                line.part()  # a request may be on its way, and is not to be answered by a reset
+                line.linger()  # a request may be on its way, and is not to be answered by a reset
                 continue
             self._lines[state].pop(line)
             line.drop()
@@ -191,7 +191,7 @@
             return
         self._shed_unread()
         over: tuple[tuple[State, float], ...] = (
-            ("silent", READ_S), ("reading", READ_S), ("parting", PART_S),
+            ("silent", READ_S), ("reading", READ_S), ("lingering", LINGER_S),
         )  # fmt: skip
         for state, age_s in over:
             self._shed(state, age_s, count)
@@ -227,20 +227,22 @@
 
 
 class FrontServer(web.Server):
-    """aiohttp's low-level server, whose connections stand in a room."""
+    """aiohttp's low-level server, whose connections are kept in a table."""
 
     def __init__(
-        self, room: Room, line: type[ClientLine], handle: Callable[..., Any], **named: Any
+        self, table: ConnectionTable, line: type[ClientConnection], handle: Callable[..., Any], **named: Any
     ) -> None:
         super().__init__(handle, **named)
-        self.room, self._line = room, line
+        self.table, self._line = table, line
 
-    def __call__(self) -> ClientLine:
+    def __call__(self) -> ClientConnection:
         return self._line(self, **self._kwargs)
 
 
 def server(
-    room: Room, handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], body_bytes: int = 65536
+    table: ConnectionTable,
+    handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    body_bytes: int = 65536,
 ) -> FrontServer:
     """A server around a handler; a request whose client leaves is cancelled."""
     loop = asyncio.get_running_loop()
@@ -250,23 +252,23 @@
 
     async def tracked(request: web.BaseRequest) -> web.StreamResponse:
         line = request.protocol
-        assert isinstance(line, ClientLine)
-        room.move(line, "busy")
+        assert isinstance(line, ClientConnection)
+        table.move(line, "busy")
         ASKER.set(line.transport)
         try:
             return await handle(request)
         finally:
-            room.move(line, "idle")
+            table.move(line, "idle")
 
     return FrontServer(
-        room,
-        ClientLine,
+        table,
+        ClientConnection,
         tracked,
         request_factory=make,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
-        lingering_time=LINGER_S,
+        lingering_time=BODY_LINGER_S,
         max_line_size=16_384,
     )
 
--- a/harriertide/objects/service.py
+++ b/harriertide/objects/service.py
@@ -11,7 +11,7 @@
 from harriertide.core import events as ev
 from harriertide.decide import api
 from harriertide.engine.runtime import Runtime
-from harriertide.http.clients import FrontServer, Room, server
+from harriertide.http.clients import ConnectionTable, FrontServer, server
 from harriertide.http.nodes import NodeClient
 from harriertide.objects.catalogue import Catalogue
 from harriertide.objects.front import ObjectFront
@@ -78,9 +78,10 @@
         """Counters by part."""
         return {"objects": self.front.counts, "store": self.store.counts}
 
-    def servers(self, room: Room) -> list[tuple[str, FrontServer]]:
+    def servers(self, table: ConnectionTable) -> list[tuple[str, FrontServer]]:
         """Listeners: the front's and the admin's."""
-        front, admin = server(room, self.front.handle), server(room, self.admin.handle, STATE_BYTES)
+        front = server(table, self.front.handle)
+        admin = server(table, self.admin.handle, STATE_BYTES)
         return [(self._operator.listen, front), (self._operator.admin, admin)]
 
     def start(self) -> None:
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -19,7 +19,7 @@
 from harriertide.core import events as ev
 from harriertide.decide.settings import Names
 from harriertide.engine.runtime import Attempt, Ending, Runtime
-from harriertide.http.clients import ClientLine, FrontServer, Room
+from harriertide.http.clients import ClientConnection, ConnectionTable, FrontServer
 from harriertide.http.nodes import NodeClient, Reply
 from harriertide.http.quiet import ended
 from harriertide.platform.fields import Fields, MalformedError, passed_on, read_arrival, read_fields
@@ -39,7 +39,7 @@
     __slots__ = ("_client", "_line", "_method", "_target", "_rows", "_body")
 
     def __init__(
-        self, client: NodeClient, line: PlatformLine, message: RawRequestMessage, body: bytes
+        self, client: NodeClient, line: PlatformConnection, message: RawRequestMessage, body: bytes
     ) -> None:
         self._client, self._line, self._body = client, line, body
         self._method, self._target = message.method, message.path
@@ -68,7 +68,7 @@
             self._line.respond(502, b"failed\n")
 
 
-class PlatformLine(ClientLine):
+class PlatformConnection(ClientConnection):
     """One connection of a client of the platform: one request at a time."""
 
     __slots__ = ("_front", "_body", "_closing", "_message", "request", "fields")
@@ -86,7 +86,7 @@
         BaseProtocol.connection_made(self, transport)  # and none of the handler's task and timer
         assert self._manager is not None and isinstance(transport, asyncio.Transport)
         self._manager.connection_made(self, transport)
-        self.room.admit(self)
+        self.table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if self.request:
@@ -103,14 +103,14 @@
         """
         if not data:  # the reader of a body has caught up; none is longer than what is read ahead
             return
-        if self.state == "parting":
+        if self.state == "lingering":
             self.discard(data)
             return
         self._closing = self._closing or self.state == "busy"
         if self._closing or self._force_close:
             return
         if self.state != "reading":
-            self.room.move(self, "reading")
+            self.table.move(self, "reading")
         assert self._parser is not None
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
@@ -152,7 +152,7 @@
             message, self._body = self._message, None
             assert message is not None and self._parser is not None
             self._parser.message_consumed()
-            self.room.move(self, "busy")
+            self.table.move(self, "busy")
             self._front.take(self, message, body.read_nowait(-1))
 
     # --- what goes -----------------------------------------------------------------------------
@@ -174,9 +174,9 @@
         shown = b"" if message is not None and message.method == "HEAD" else body
         transport.write(head.encode("utf-8", "surrogateescape") + shown)
         if closes:
-            self.part()
+            self.linger()
         else:
-            self.room.move(self, "idle")
+            self.table.move(self, "idle")
 
     def refuse(self, status: int, reason: str) -> None:
         """An answer to what can't be served, the last one on this connection."""
@@ -187,8 +187,8 @@
 class PlatformServer(FrontServer):
     """aiohttp's low-level server for the platform's front."""
 
-    def __init__(self, front: Front, room: Room) -> None:
-        super().__init__(room, PlatformLine, _unused, access_log=None)
+    def __init__(self, front: Front, table: ConnectionTable) -> None:
+        super().__init__(table, PlatformConnection, _unused, access_log=None)
         self.front = front
 
 
@@ -214,7 +214,7 @@
             self._second, self._date = second, formatdate(second, usegmt=True)
         return self._date
 
-    def take(self, line: PlatformLine, message: RawRequestMessage, body: bytes) -> None:
+    def take(self, line: PlatformConnection, message: RawRequestMessage, body: bytes) -> None:
         """A whole request: answer it, or give it to the core."""
         path = message.path.partition("?")[0]
         if path == READY:
@@ -244,6 +244,6 @@
         if not runtime.submit(arrival, PlatformJob(self._client, line, message, body)):
             line.refuse(400, "X-Call-Id is in use")
 
-    def left(self, line: PlatformLine) -> None:
+    def left(self, line: PlatformConnection) -> None:
         """The client closed its connection while its request was open."""
         self._runtime.left(line.request)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -16,7 +16,7 @@
     s eof                                                              it was closed by the daemon
     s send list b1=draining ...   one line of the watch, in two chunks;   s send raw TEXT
     o send b1=draining|gone|up ...   plan and apply in one;   d close    SIGTERM's course begins
-    d set boxes.BOUND=N / clients.BOUND=N       a bound of the pool of connections, or of their room
+    d set boxes.BOUND=N / clients.BOUND=N       a bound of either side's connections
     d send config PATH=JSON ...   SIGHUP's course, with the configuration file changed there
     d expect COUNTER=VALUE ...                                         of the core
 
@@ -133,7 +133,7 @@
         elif actor == "d" and verb == "set":
             for path, _, value in (word.partition("=") for word in words):
                 part, _, name = path.partition(".")
-                held = {"boxes": self.daemon.client.pool, "clients": self.daemon.room}[part]
+                held = {"boxes": self.daemon.client.pool, "clients": self.daemon.clients}[part]
                 assert hasattr(held, name)
                 setattr(held, name, int(value))
         elif actor == "d" and verb == "send":
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize(
     ("text", "named"),
-    [("", "not JSON"), ("{}", "name"), ('{"name":"n","listen":"127.0.0.1:0","discovery":"x"}', "settings")],
+    [("", "not JSON"), ("{}", "name"), ('{"name":"n","listen":"127.0.0.1:0","discovery":"x:1"}', "settings")],
 )
 def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path: Path, text: str, named: str) -> None:
     file = tmp_path / "config.json"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -129,7 +129,7 @@
         client = house.client()
         client.sendall(house.request())
         line = await house.asked()
-        (mine,) = house.daemon.room.lines("busy")
+        (mine,) = house.daemon.clients.lines("busy")
         assert isinstance(mine.transport, asyncio.Transport)
         mine.transport.pause_reading()
         client.sendall(FLOOD)
@@ -151,7 +151,7 @@
         while house.daemon.core.counts["served"] == 0:
             await asyncio.sleep(0)
         crowd = [house.client() for _ in range(10)]
-        while len(house.daemon.room) < 11:
+        while len(house.daemon.clients) < 11:
             await asyncio.sleep(0)
         for client in crowd:
             client.sendall(house.request())
@@ -170,7 +170,7 @@
         client = house.client()
         client.sendall(b"PUT /v/key HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab")
         line = await house.asked()
-        (mine,) = house.daemon.room.lines("busy")
+        (mine,) = house.daemon.clients.lines("busy")
         assert isinstance(mine.transport, asyncio.Transport)
         mine.transport.pause_reading()
         client.sendall(FLOOD)
@@ -250,14 +250,14 @@
     async def play(house: House) -> None:
         client = house.client()
         client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.room.lines("idle"):
+        while not house.daemon.clients.lines("idle"):
             await asyncio.sleep(0)
-        house.daemon.room.close_idle()
+        house.daemon.clients.close_idle()
         client.sendall(house.request())
         got = await house.read(client)
         assert got.count(b"HTTP/1.1") == 1 and got.endswith(b"ready\n")
         client.close()
-        while len(house.daemon.room):
+        while len(house.daemon.clients):
             await asyncio.sleep(0)
         assert house.box.asked.empty() and house.daemon.core.counts["taken"] == 0
 
@@ -270,15 +270,15 @@
     async def play(house: House) -> None:
         client, more = house.client(), None
         client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.room.lines("idle"):
+        while not house.daemon.clients.lines("idle"):
             await asyncio.sleep(0)
-        house.daemon.room.most = 1
+        house.daemon.clients.most = 1
         more = house.client()
-        while house.daemon.room.counts["shed_idle"] == 0:
+        while house.daemon.clients.counts["shed_idle"] == 0:
             await asyncio.sleep(0)
         with suppress(ConnectionResetError):
             assert (await house.read(client)).endswith(b"ready\n")
-        assert len(house.daemon.room) == 1 and house.daemon.core.counts["taken"] == 0
+        assert len(house.daemon.clients) == 1 and house.daemon.core.counts["taken"] == 0
         more.close()
 
     inside(play)
@@ -290,7 +290,7 @@
     async def play(house: House) -> None:
         client = house.client()
         client.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.room.lines("parting"):
+        while not house.daemon.clients.lines("lingering"):
             await asyncio.sleep(0)
         client.sendall(house.request() * 3)
         got = await house.read(client)
@@ -305,17 +305,17 @@
     async def play(house: House) -> None:
         client = house.client()
         client.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.room.lines("parting"):
+        while not house.daemon.clients.lines("lingering"):
             await asyncio.sleep(0)
-        (mine,) = house.daemon.room.lines("parting")
+        (mine,) = house.daemon.clients.lines("lingering")
         client.setblocking(False)
         loop = asyncio.get_running_loop()
         with suppress(ConnectionError):
             async with asyncio.timeout(2):
                 for _ in range(1000):
                     await loop.sock_sendall(client, FLOOD)
-        assert clients.PART_BYTES < mine.thrown <= clients.PART_BYTES + 262_144
-        assert len(house.daemon.room) == 0
+        assert clients.LINGER_BYTES < mine.discarded <= clients.LINGER_BYTES + 262_144
+        assert len(house.daemon.clients) == 0
         client.close()
 
     inside(play)
@@ -325,14 +325,14 @@
     async def play(house: House) -> None:
         client = house.client()
         client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.room.lines("idle"):
+        while not house.daemon.clients.lines("idle"):
             await asyncio.sleep(0)
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        house.daemon.room.close_idle()
-        while len(house.daemon.room):
+        house.daemon.clients.close_idle()
+        while len(house.daemon.clients):
             await asyncio.sleep(0.01)
-        assert loop.time() - begun < clients.PART_S + 2 * clients.SWEEP_S + 0.2
+        assert loop.time() - begun < clients.LINGER_S + 2 * clients.SWEEP_S + 0.2
         client.close()
 
     inside(play)
@@ -348,7 +348,7 @@
         daemon, client = house.daemon, house.client()
         whole = house.request("PUT", b"body")
         client.sendall(whole[:-2])
-        while not daemon.room.lines("reading"):
+        while not daemon.clients.lines("reading"):
             await asyncio.sleep(0)
         post = daemon.runtime.post
 
--- a/tests/test_limits_whole.py
+++ b/tests/test_limits_whole.py
@@ -75,7 +75,7 @@
         daemon.peers.close()
         for listener in daemon.servers:
             listener.close()
-        daemon.room.close()
+        daemon.clients.close()
         await daemon.watch.close()
         await daemon.runtime.close(0.0)
         await daemon.client.close()
