--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(PYTHON) -m mypy
 
 test: lint
-	$(PYTHON) -m pytest -q -n 4 --dist worksteal
+	$(PYTHON) -m pytest -q -n 6 --dist worksteal
 
 # two minutes of attempts with ends of every kind against boxes that read late: docs/measurements/second-copy.md
 probe-second-copy: build
