Forget that a node was gone once a newer list names it again

Seen in reading the change once more: a whole list that left a node out, a newer one that names it, and a discovery that moves: the node was held for gone for good. Lines: Directory.read in platform/discovery.py.

--- a/harriertide/platform/discovery.py
+++ b/harriertide/platform/discovery.py
@@ -112,6 +112,7 @@
                 self._dial.pop(entry.node, None)
                 self._entries.pop(entry.node, None)
                 continue
+            self._gone.pop(entry.node, None)  # a list that left it out was wrong
             self._entries[entry.node] = entry
             if entry.node in dials:
                 self._dial[entry.node] = dials[entry.node]
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -281,3 +281,11 @@
     absent.read({"seq": 7, "whole": True, "hosts": [HOST]})
     absent.read({"seq": 8, "whole": True, "hosts": []})
     assert absent.read({"seq": 6, "whole": True, "hosts": [HOST]}).nodes[0].state == "gone"
+
+
+def test_a_node_that_one_list_left_out_is_not_held_for_gone_once_a_newer_one_names_it() -> None:
+    directory = Directory({})
+    for seq, hosts in ((7, [HOST]), (8, []), (9, [HOST])):
+        directory.read({"seq": seq, "whole": True, "hosts": hosts})
+    moved = directory.read({"seq": 2, "whole": True, "hosts": [HOST]}, "whole")  # discovery is elsewhere now
+    assert [entry.state for entry in moved.nodes] == ["live"] and directory.find("n1") == HOST["dial"]
