Force the crossing where a connection must make room: its test sent no request

Now, within one turn of the loop, the connection is given up, its client reads the end, and then sends; it fails without the end that ClientConnection.drop sends first (seen).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -63,6 +63,14 @@
         async with asyncio.timeout(5):
             return (await self.box.asked.get())[3]
 
+    async def resting(self, path: str, state: clients.State) -> socket.socket:
+        """A client that was answered, its connection in this state."""
+        client = self.client()
+        client.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        while not self.daemon.clients.lines(state):
+            await asyncio.sleep(0)
+        return client
+
     async def settle(self) -> None:
         """Until all that can follow has: attempts leave a gap behind each other, and may connect first."""
         await asyncio.sleep(0.15)
@@ -248,10 +256,7 @@
     """The broker ends its side; the request comes before it could hear of that, and gets no reset."""
 
     async def play(house: House) -> None:
-        client = house.client()
-        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.clients.lines("idle"):
-            await asyncio.sleep(0)
+        client = await house.resting("/health/ready", "idle")
         house.daemon.clients.close_idle()
         client.sendall(house.request())
         got = await house.read(client)
@@ -265,21 +270,18 @@
 
 
 def test_a_request_that_crosses_the_close_of_a_connection_that_must_make_room_sees_its_end_first() -> None:
-    """There its descriptor is needed at once: its end goes out before the reset for unread bytes."""
+    """There its descriptor is needed at once: its end is out before the turn in which it is closed."""
 
     async def play(house: House) -> None:
-        client, more = house.client(), None
-        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.clients.lines("idle"):
-            await asyncio.sleep(0)
-        house.daemon.clients.most = 1
-        more = house.client()
-        while house.daemon.clients.counts["shed_idle"] == 0:
-            await asyncio.sleep(0)
-        with suppress(ConnectionResetError):
-            assert (await house.read(client)).endswith(b"ready\n")
-        assert len(house.daemon.clients) == 1 and house.daemon.core.counts["taken"] == 0
-        more.close()
+        client = await house.resting("/health/ready", "idle")
+        client.setblocking(False)
+        assert client.recv(65536).endswith(b"ready\n")
+        assert house.daemon.clients._make_room(False)
+        assert client.recv(65536) == b""  # no turn of the loop has passed; without its end this would block
+        client.sendall(house.request())
+        await house.settle()
+        assert house.box.asked.empty() and house.daemon.core.counts["taken"] == 0
+        client.close()
 
     inside(play)
 
@@ -288,10 +290,7 @@
     """A client that sends on while it is answered for good: that is read, so nothing is reset away."""
 
     async def play(house: House) -> None:
-        client = house.client()
-        client.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.clients.lines("lingering"):
-            await asyncio.sleep(0)
+        client = await house.resting("/nowhere", "lingering")
         client.sendall(house.request() * 3)
         got = await house.read(client)
         assert got.startswith(b"HTTP/1.1 404") and got.endswith(b"no such route\n")
@@ -303,10 +302,7 @@
 
 def test_a_flood_behind_the_last_answer_is_read_no_further_than_its_bound() -> None:
     async def play(house: House) -> None:
-        client = house.client()
-        client.sendall(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.clients.lines("lingering"):
-            await asyncio.sleep(0)
+        client = await house.resting("/nowhere", "lingering")
         (mine,) = house.daemon.clients.lines("lingering")
         client.setblocking(False)
         loop = asyncio.get_running_loop()
@@ -323,10 +319,7 @@
 
 def test_a_connection_whose_client_never_ends_its_side_goes_all_the_same() -> None:
     async def play(house: House) -> None:
-        client = house.client()
-        client.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        while not house.daemon.clients.lines("idle"):
-            await asyncio.sleep(0)
+        client = await house.resting("/health/ready", "idle")
         loop = asyncio.get_running_loop()
         begun = loop.time()
         house.daemon.clients.close_idle()
