--- a/Makefile
+++ b/Makefile
@@ -9,11 +9,14 @@
 	.venv/bin/pip -q install -r requirements-dev.txt
 	touch .venv/.done .venv/.dev
 
-# PYTHON may name another environment's interpreter, as .ci/run does
-PYTHON ?= .venv/bin/python
+# PYTHON may name another environment's interpreter, as .ci/run does; without that, this one's is built first
+OWN_PYTHON := .venv/bin/python
+PYTHON ?= $(OWN_PYTHON)
+ENVIRONMENT := $(if $(filter $(OWN_PYTHON),$(PYTHON)),build)
 
-lint:
+lint: $(ENVIRONMENT)
 	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m mypy
 
 test: lint
--- a/harriertide/lab/parity.py
+++ b/harriertide/lab/parity.py
@@ -249,9 +249,7 @@
     return max(len(one.decisions), len(other.decisions)) - len(differ), differ
 
 
-def play(
-    workload: Workload, make: Callable[[], list[plant.Box]], brokers: int = 1
-) -> tuple[Played, Played]:
+def play(workload: Workload, make: Callable[[], list[plant.Box]], brokers: int = 1) -> tuple[Played, Played]:
     """Through both, each with boxes of its own."""
 
     def seat(place: int) -> Exchange | None:
--- a/harriertide/library/web.py
+++ b/harriertide/library/web.py
@@ -79,9 +79,7 @@
             if held and size:
                 self.hold.give_back(size)
 
-    async def _call(
-        self, ask: Ask, request: web.Request, handler: Handler, held: bool
-    ) -> web.StreamResponse:
+    async def _call(self, ask: Ask, request: web.Request, handler: Handler, held: bool) -> web.StreamResponse:
         last: list[Attempt] = []
 
         async def perform(attempt: Attempt) -> web.StreamResponse:
--- a/harriertide/objects/catalogue.py
+++ b/harriertide/objects/catalogue.py
@@ -164,8 +164,15 @@
         cursor = self._db.execute(
             "insert into objects (bucket, key, etag, type, size, modified_ms, headers)"
             " values (?, ?, ?, ?, ?, ?, ?)",
-            (bucket, key, stored.etag, stored.type, stored.size, stored.modified_ms,
-             json.dumps(stored.headers)),
+            (
+                bucket,
+                key,
+                stored.etag,
+                stored.type,
+                stored.size,
+                stored.modified_ms,
+                json.dumps(stored.headers),
+            ),
         )
         rows = [
             (cursor.lastrowid, place, p.blob, p.box, p.shard, p.size, p.tag)
--- a/harriertide/objects/front.py
+++ b/harriertide/objects/front.py
@@ -224,9 +224,7 @@
             await response.prepare(call.request)
         return response
 
-    async def _pass_on(
-        self, call: Call, stored: Stored, span: s3.Span, response: web.StreamResponse
-    ) -> None:
+    async def _pass_on(self, call: Call, stored: Stored, span: s3.Span, response: web.StreamResponse) -> None:
         """The pieces that the span touches, one after the other, under one deadline."""
         give_up_us = self._store.give_up_us(False, span.size, call.budget_ms)
 
--- a/harriertide/objects/multipart.py
+++ b/harriertide/objects/multipart.py
@@ -57,9 +57,7 @@
     return int(text)
 
 
-def add(
-    store: Store, upload_id: str, bucket: str, key: str, number: int, piece: Piece, digest: str
-) -> None:
+def add(store: Store, upload_id: str, bucket: str, key: str, number: int, piece: Piece, digest: str) -> None:
     """Take a part that lies on its box; not if the upload has ended meanwhile."""
     upload = find(store, upload_id, bucket, key)
     if not store.catalogue.add_part(upload, Part(number, piece, digest, store.now_ms())):
--- a/harriertide/objects/store.py
+++ b/harriertide/objects/store.py
@@ -235,5 +235,3 @@
             self.catalogue.deleted(blob)
         else:
             self.catalogue.discard(blob, self.now_ms() + LATE_MS)
-
-
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -269,9 +269,7 @@
 
 KEYED: dict[str, Any] = {
     **PUSHED,
-    "classes": [
-        {**WIRE["classes"][0], "effect": "deduplicated", "dedupScope": "cell", "windowUs": 400_000}
-    ],
+    "classes": [{**WIRE["classes"][0], "effect": "deduplicated", "dedupScope": "cell", "windowUs": 400_000}],
 }
 WRITES = {
     "cut off within the window: again, to the same rack and with the same key": f"""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,6 +29,8 @@
         placed.update(send.node for send in sends(head.decide(START_US + 1_000, events)))
     assert placed.total() == 3 * HEADS
     assert max(placed.values()) <= 8 and len(placed) >= 45  # 40 each at the first three, before
+
+
 FIRST = crc32(b"0") % HEADS  # the keeper of shard 0
 
 
--- a/tests/test_parity.py
+++ b/tests/test_parity.py
@@ -221,4 +221,3 @@
     assert loaded.rows == workload.rows
     daemon, library = parity.play(loaded, lambda: plant.draw("failing", 2, 4.5)[1])
     assert not parity.compare(daemon, library)[1]
-
