Open the operators' address, with a drain; inherit the clients' listening socket

One state machine for the life of a process (lifecycle/machine.py); the daemon carries it out. The operators' address is a listener of its own on the loop, with descriptors kept free for it. From an evacuation on, the health check says no and each answer is the last on its connection; what rests is ended in order after 1 s. LB_INHERITED_FD names the clients' socket, which is checked and copied; its queue is never cut short. The configuration has a module of its own, as have listening sockets.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -5,28 +5,26 @@
 import asyncio
 import gc
 import signal
+import socket
 import sqlite3
 import sys
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass, field
-from pathlib import Path
-from string import hexdigits
 from typing import TYPE_CHECKING, Any
 
-import orjson
-
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
-from harriertide.decide import api
-from harriertide.decide.settings import Names, Part, PlainError, from_wire, in_places, names_from_wire
+from harriertide.decide.settings import Names, PlainError
 from harriertide.engine.clock import Clock, until
 from harriertide.engine.counts import fields
 from harriertide.engine.log import adopt_libraries, log
 from harriertide.engine.runtime import Runtime
-from harriertide.http.clients import ConnectionTable, FrontServer, listen
-from harriertide.http.limits import Limits, read_limits
+from harriertide.http.clients import ConnectionTable, FrontServer
+from harriertide.http.limits import read_limits
+from harriertide.http.listening import InheritError, inherit, listen
 from harriertide.http.nodes import NodeClient
+from harriertide.lifecycle.machine import Lifecycle
+from harriertide.platform.configuration import BadConfigError, Config, read_config
 from harriertide.platform.discovery import Directory, Watch
 from harriertide.platform.front import Front, PlatformServer
 from harriertide.platform.peers import Peers, address
@@ -34,6 +32,7 @@
 
 if TYPE_CHECKING:  # a broker of the platform does without the object front, and starts the sooner
     from harriertide.config.model import Maintenance, Operator
+    from harriertide.lifecycle.operator_api import OperatorApi
     from harriertide.objects.service import ObjectService
     from harriertide.upkeep.service import Service
 
@@ -45,99 +44,9 @@
 LINGER_S = 0.15  # after it clients may read their last answers: a close on bytes unread would reset them away
 
 
-class BadConfigError(PlainError):
-    """The configuration cannot be used, in one plain line."""
-
-
-@dataclass(frozen=True, slots=True)
-class Config:
-    """What a broker is told at its start."""
-
-    name: str
-    listen: tuple[str, int]
-    discovery: str
-    seed: int
-    settings: api.Settings
-    names: Names
-    peer_listen: tuple[str, int] | None
-    peers: list[str]
-    known: dict[str, Any]
-    writes: tuple[bool, ...] = ()
-    raw_settings: dict[str, Any] = field(default_factory=dict)
-    limits: Limits = field(default_factory=read_limits)
-
-
 _LOCAL = Names({}, {}, {}, connect_us=250_000, idle_us=15_000_000)  # without a platform
 
 
-def _check_address(key: str, text: str) -> None:
-    """ValueError where it should be host:port and is not."""
-    if key == "name" or (key == "peer_listen" and not text):
-        return
-    host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{key}: must be host:port")
-
-
-def read_config(environment: Mapping[str, str], held: Config | None = None) -> Config:
-    """LB_CONFIG, with LB_NAME, LB_LISTEN and LB_DISCOVERY over it where they are set.
-
-    held: what a running daemon goes by. Then only the file counts, as the environment can't follow it, and
-    classes and plans keep their places.
-    """
-    path = environment.get("LB_CONFIG", "")
-    if not path:
-        raise BadConfigError("LB_CONFIG is not set: it names the configuration file")
-    try:
-        raw = orjson.loads(Path(path).read_bytes())
-    except OSError as fault:
-        raise BadConfigError(f"LB_CONFIG cannot be read: {fault.strerror}") from None
-    except orjson.JSONDecodeError as fault:
-        raise BadConfigError(f"LB_CONFIG is not JSON: {fault}") from None
-    try:
-        top = Part(raw, "")
-        if held is not None:
-            environment = {}
-        keys = ("name", "listen", "discovery")
-        stated = {key: environment.get(f"LB_{key.upper()}") or top.text(key) for key in keys}
-        listens, peers = top.text("peer_listen", ""), top.texts("peers")
-        for key, text in [*stated.items(), ("peer_listen", listens), *(("peers", peer) for peer in peers)]:
-            _check_address(key, text)
-        seed = str(raw.get("seed") or "0")
-        if not set(seed) <= set(hexdigits):
-            raise ValueError("seed: must be hex digits")
-        settings = raw["settings"]
-        from_wire(settings)  # good by itself, before it is put in the places of those held
-        names = names_from_wire(settings)
-        if held is not None:
-            settings = in_places(settings, held.raw_settings)
-            names = names_from_wire(settings, raw["settings"])
-        known = raw.get("known") or {"seq": 0, "whole": True, "hosts": []}
-        try:
-            Directory(names.zones).read(known, "held")
-        except Exception as fault:
-            raise ValueError(f"known: is no list of nodes: {type(fault).__name__} {fault}") from None
-        domain = Part(settings, "settings").part("domain")
-        return Config(
-            name=stated["name"],
-            listen=address(stated["listen"]),
-            discovery=stated["discovery"],
-            seed=int(seed, 16),
-            settings=from_wire(settings),
-            names=names,
-            peer_listen=address(listens) if listens else None,
-            peers=peers,
-            known=known,
-            writes=domain.flags("writes"),
-            raw_settings=settings,
-            limits=read_limits(top.part("limits") if raw.get("limits") else Part({}, "limits")),
-        )
-    except KeyError as gap:
-        raise BadConfigError(f"LB_CONFIG: {gap.args[0]} is missing or unknown") from None
-    except (TypeError, ValueError, AttributeError) as fault:
-        raise BadConfigError(f"LB_CONFIG: {fault}") from None
-
-
 class Daemon:
     """One process in service: the platform's front, the object front, or both on one core."""
 
@@ -146,6 +55,9 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
+        self.life = Lifecycle()
+        self.operator_api: OperatorApi | None = None
+        self.waits_for_list = False
         self.config = config
         if config is not None:
             settings, names, seed = config.settings, config.names, config.seed
@@ -164,6 +76,7 @@
         self.clients = ConnectionTable(limits)
         self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits)
         self.front = Front(self.runtime, self.client, names)
+        self._apply_life()
         self.watch: Watch | None = None
         self.peers: Peers | None = None
         self.objects: ObjectService | None = None
@@ -189,7 +102,9 @@
         from harriertide.upkeep.service import Service
 
         def ready(on: bool) -> None:
-            self.front.ready = objects.front.ready = on
+            self.life.in_maintenance = not on
+            self._apply_life()
+            objects.front.ready = on
 
         def unix_us() -> int:
             return self.runtime.clock.now_us()
@@ -203,6 +118,12 @@
         own = self.objects.find(node) if self.objects is not None else None
         return own or self.directory.find(node)
 
+    def _apply_life(self) -> None:
+        """Have all parts go by the state of this process, in the same turn of the loop."""
+        life, front = self.life, self.front
+        front.ready, front.last = life.healthy, life.ends_connections
+        self.clients.retire(life.drained)
+
     def reload(self, environment: Mapping[str, str]) -> None:
         """Go by the configuration file as it is now; by what was there before if it can't be used.
 
@@ -231,8 +152,9 @@
         if fresh.discovery != self.watch.address:
             self.watch.move(fresh.discovery)
         self.watch.follow(not fresh.settings.ask_for_list)
-        if (fresh.listen, fresh.peer_listen) != (held.listen, held.peer_listen):
-            log("listen and peer_listen take effect at the next start")
+        addresses = [(each.listen, each.peer_listen, each.operator) for each in (fresh, held)]
+        if addresses[0] != addresses[1]:
+            log("listen, peer_listen and operator take effect at the next start")
         log("reloaded, the configuration file is in force")
 
     def counters(self) -> dict[str, int]:
@@ -241,6 +163,8 @@
         parts |= {"clients": self.clients.counts, "probes": self.probes.counts}
         if self.watch is not None and self.peers is not None:
             parts |= {"watch": self.watch.counts, "peers": self.peers.counts}
+        if self.operator_api is not None:
+            parts |= {"operators": self.operator_api.counts}
         if self.objects is not None:
             parts |= self.objects.counts()
         if self.upkeep is not None:
@@ -253,6 +177,9 @@
         config = self.config
         self.servers: list[asyncio.Server] = []
         if config is not None:
+            door = config.listen if config.inherited_descriptor is None else self._inherit(config)
+            if config.operator is not None:
+                await self._serve_operators(config.operator)
             if config.peer_listen is not None and self.peers is not None:
                 peers = self.peers
                 await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
@@ -260,13 +187,33 @@
                 if not config.settings.ask_for_list:
                     self._wait_for_list(self.watch)
                 self.watch.follow(not config.settings.ask_for_list)
-            await self._listen(config.listen, PlatformServer(self.front, self.clients))
+            await self._listen(door, PlatformServer(self.front, self.clients))
         if self.objects is not None:
             for at, web_server in self.objects.servers(self.clients):
                 await self._listen(address(at), web_server)
             self.objects.start()
         if self.upkeep is not None:
             await self.upkeep.start()
+        self._can_serve()
+
+    def _inherit(self, config: Config) -> socket.socket:
+        """The clients' listening socket as the platform holds it."""
+        assert config.inherited_descriptor is not None
+        try:
+            return inherit(config.inherited_descriptor, config.listen)
+        except InheritError as fault:
+            raise BadConfigError(f"LB_INHERITED_FD: {fault}") from None
+
+    async def _serve_operators(self, at: tuple[str, int]) -> None:
+        """Open the operators' address."""
+        from harriertide.lifecycle.operator_api import OperatorApi  # only where there is one
+
+        self.operator_api = OperatorApi(self.life, self._apply_life)
+        try:
+            self._operator_server = await listen(at, self.operator_api.connection)
+        except OSError as fault:
+            raise BadConfigError(f"operator: cannot listen on {at[0]}:{at[1]}: {fault.strerror}") from None
+        log("serves operators", on=f"{at[0]}:{at[1]}")
 
     def _wait_for_list(self, watch: Watch) -> None:
         """Ready with the first list, or LIST_S later.
@@ -274,24 +221,36 @@
         What an agent has counts as told from the first moment of a process, and the list in the configuration
         may be old.
         """
-        self.front.ready = False
+        self.waits_for_list = True
 
         def ready() -> None:
             timer.cancel()
             watch.heard = lambda: None
-            self.front.ready = not self.stopping.is_set()
+            self.waits_for_list = False
+            self._can_serve()
 
         timer = asyncio.get_running_loop().call_later(LIST_S, ready)
         watch.heard = ready
 
-    async def _listen(self, at: tuple[str, int], web_server: FrontServer) -> None:
+    def _can_serve(self) -> None:
+        """All that it takes to serve is there, unless a list is still waited for."""
+        if not self.waits_for_list:
+            self.life.serve()
+            self._apply_life()
+
+    async def _listen(self, at: tuple[str, int] | socket.socket, web_server: FrontServer) -> None:
         self.servers.append(await listen(at, web_server))
-        log("serves", on=f"{at[0]}:{self.port(-1)}")
+        host, port = self.servers[-1].sockets[0].getsockname()[:2]
+        log("serves", on=f"{host}:{port}")
 
     def port(self, place: int) -> int:
         """The port of a listener, where the system chose it."""
         return int(self.servers[place].sockets[0].getsockname()[1])
 
+    def operator_port(self) -> int:
+        """The port of the operators' address."""
+        return int(self._operator_server.sockets[0].getsockname()[1])
+
     async def stop(self) -> None:
         """Not ready; take what still comes for a while; finish what is taken; close.
 
@@ -300,7 +259,8 @@
         """
         loop = asyncio.get_running_loop()
         self.stopping.set()
-        self.front.ready = False
+        self.life.stop()
+        self._apply_life()
         longest_s = max(kind.deadline_us for kind in self.core.settings.classes) / 1e6
         finish_by = loop.time() + min(LONGEST_S, longest_s) + SLACK_S
         log("stopping")
@@ -309,7 +269,8 @@
             listener.close()
         while self._busy() and loop.time() < finish_by - LAST_S:
             await until(loop.time() + 0.02)
-        self.front.last = True
+        self.life.last_answers = True
+        self._apply_life()
         if self.objects is not None:
             self.objects.front.ready = False
         while self._busy() and loop.time() < finish_by:
@@ -322,6 +283,9 @@
             self.clients.close_idle()
             await until(loop.time() + 0.02)
         self.clients.close()
+        if self.operator_api is not None:
+            self._operator_server.close()
+            self.operator_api.close()
         if self.watch is not None:
             await self.watch.close()
         if self.peers is not None:
--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -32,9 +32,9 @@
 STUCK_S = 10.0  # for an answer that its client does not read
 SWEEP_S = 0.1
 SHORT = 0.3  # of the bound: from here on connections are short; clients may hold a third of all descriptors
+RETIRE_S = 1.0  # in which a connection that is to end may still bring a request and be told in its answer
+RETIRE_SILENT_S = 0.25  # for the first request on a new one that comes later
 BODY_LINGER_S = 1.0  # an unread body is read on for so long, on fronts that take large ones
-ACCEPTS = 4  # connections taken in one turn of the loop; more wait in the system's queue
-BACKLOG = 512
 
 # The connection of the request that is being handled, for what is asked for it
 ASKER: ContextVar[asyncio.BaseTransport | None] = ContextVar("harriertide.asker", default=None)
@@ -111,6 +111,7 @@
             "silent": {}, "reading": {}, "busy": {}, "idle": {}, "lingering": {},
         }  # fmt: skip
         self._timer: asyncio.TimerHandle | None = None
+        self._retire_at: float | None = None  # from when on none is kept that rests
 
     def limit(self, limits: Limits) -> None:
         """Go by these bounds from now on."""
@@ -148,6 +149,13 @@
         line.state = state
         self._lines[state][line] = None
 
+    def retire(self, on: bool) -> None:
+        """Whether clients are sent away: from RETIRE_S on, those that rest are ended in order."""
+        if not on:
+            self._retire_at = None
+        elif self._retire_at is None:
+            self._retire_at = self._loop.time() + RETIRE_S
+
     # --- closing -------------------------------------------------------------------------------
 
     def _make_room(self, asks: bool) -> bool:
@@ -196,6 +204,9 @@
         for state, age_s in over:
             self._shed(state, age_s, count)
         self._shed("idle", SPARE_S if count > SHORT * self.most else IDLE_S, count)
+        if self._retire_at is not None and self._loop.time() >= self._retire_at:
+            self._shed("idle", 0.0, count)
+            self._shed("silent", RETIRE_SILENT_S, count)
         self._timer = self._loop.call_at(self._loop.time() + SWEEP_S, self._sweep)
 
     def _shed_unread(self) -> None:
@@ -271,21 +282,3 @@
         lingering_time=BODY_LINGER_S,
         max_line_size=16_384,
     )
-
-
-async def listen(at: tuple[str, int], front: FrontServer) -> asyncio.Server:
-    """A listener that takes a few connections in a turn of the loop, and leaves many in the queue.
-
-    Guards against a crowd taking all descriptors before the first of them can be shed.
-    """
-    loop = asyncio.get_running_loop()
-    door = socket.socket(socket.AF_INET6 if ":" in at[0] else socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        door.bind(at)
-        listener = await loop.create_server(front, sock=door, backlog=ACCEPTS)
-    except BaseException:
-        door.close()
-        raise
-    door.listen(BACKLOG)
-    return listener
--- a/harriertide/lab/bench_library.py
+++ b/harriertide/lab/bench_library.py
@@ -29,13 +29,14 @@
 from docopt import docopt
 from hdrh.histogram import HdrHistogram
 
-from harriertide.cli.daemon import Config, Daemon
+from harriertide.cli.daemon import Daemon
 from harriertide.decide.settings import Names
 from harriertide.engine.clock import Clock, until
 from harriertide.http.limits import Limits
 from harriertide.http.nodes import NodeClient
 from harriertide.lab import plant
 from harriertide.library import Ask, Attempt, Box, Broker, Fixed
+from harriertide.platform.configuration import Config
 
 WAYS = ("direct", "library", "daemon")
 FIGURES = ("p50", "p99", "p99.9", "cpu")
--- a/harriertide/lab/parity.py
+++ b/harriertide/lab/parity.py
@@ -25,7 +25,7 @@
 
 from docopt import docopt
 
-from harriertide.cli.daemon import Config, Daemon
+from harriertide.cli.daemon import Daemon
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
 from harriertide.decide import api
@@ -36,6 +36,7 @@
 from harriertide.lab import plant, virtual
 from harriertide.library import Ask, Attempt, Box, Broker, FailedError, Fixed, RefusedError
 from harriertide.library.exchange import Exchange, Loopback
+from harriertide.platform.configuration import Config
 from harriertide.platform.fields import SENT_BEFORE_US
 
 LEAD_S = 0.5  # before the first row
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 
 from harriertide.cli import daemon as daemons
-from harriertide.cli.daemon import Config, Daemon
+from harriertide.cli.daemon import Daemon
 from harriertide.config import model
 from harriertide.core import events as ev
 from harriertide.decide import api
@@ -27,6 +27,7 @@
 from harriertide.library.sources import Box
 from harriertide.library.types import Ask, Attempt, BoxError, FailedError
 from harriertide.library.web import Guard
+from harriertide.platform.configuration import Config
 from harriertide.platform.peers import address
 from tests.scenario import Line, Stand, World
 from tests.test_net import OPERATOR, WIRE
@@ -90,8 +91,13 @@
     line.writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
 
 
-def inside(play: Callable[[House], Awaitable[None]], objects: str = "", wire: dict = WIRE) -> None:  # type: ignore[type-arg]
-    """Play it on the platform's front, or on the object front with its catalogue at this path."""
+def inside(
+    play: Callable[[House], Awaitable[None]], objects: str = "", wire: dict = WIRE, **stated: object
+) -> None:  # type: ignore[type-arg]
+    """Play it on the platform's front, or on the object front with its catalogue at this path.
+
+    stated: further fields of the configuration.
+    """
 
     async def main() -> None:
         box, discovery = Stand(), Stand()
@@ -106,7 +112,7 @@
                 settings=from_wire(wire), names=names_from_wire(wire), peer_listen=None, peers=[],
                 known={"seq": 7, "whole": True, "hosts": [host]}, raw_settings=wire,
             )  # fmt: skip
-            daemon = Daemon(config, None)
+            daemon = Daemon(replace(config, **stated), None)  # type: ignore[arg-type]
         await daemon.start()
         house = House(daemon, box, daemon.port(0))
         try:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -11,12 +11,12 @@
 
 import pytest
 
-from harriertide.cli.daemon import BadConfigError, read_config
 from harriertide.core import events as ev
 from harriertide.decide import api
 from harriertide.decide.settings import from_wire
 from harriertide.engine.clock import until
 from harriertide.lab import virtual
+from harriertide.platform.configuration import BadConfigError, read_config
 from harriertide.platform.discovery import Directory, Watch
 from tests.test_net import OK, WIRE, play
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,7 +12,7 @@
 # An import points to a lower floor, or stays in its room.
 FLOORS = {
     "decide": 1, "core": 2, "consensus": 2, "maintenance": 3, "engine": 3, "http": 4, "config": 4,
-    "platform": 5, "objects": 5, "upkeep": 6, "library": 6, "cli": 7, "lab": 8,
+    "platform": 5, "lifecycle": 5, "objects": 5, "upkeep": 6, "library": 6, "cli": 7, "lab": 8,
 }  # fmt: skip
 # Disks and wires of pure rooms, each in a module beside them: on a floor of their own.
 OUTSIDE = {"consensus/store.py": 4, "consensus/transport.py": 4}
@@ -76,7 +76,10 @@
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
     loaded, rows = json.loads(done.stdout)
     own = {room(name) for name in loaded} - {""}
-    assert own == {"decide", "core", "engine", "http", "platform", "cli"}
+    assert own == {"decide", "core", "engine", "http", "platform", "lifecycle", "cli"}
+    # of the life of a process the state machine alone: the rest is loaded where the configuration names it
+    lifecycle = {name for name in loaded if room(name) == "lifecycle"}
+    assert lifecycle == {"harriertide.lifecycle", "harriertide.lifecycle.machine"}
     assert not [name for name in loaded if name.split(".")[0] in HEAVY]
     private_kb = sum(int(row.split()[1]) for row in rows if row.startswith("Private_"))
     assert private_kb < 32_000, rows
--- a/tests/test_limits_whole.py
+++ b/tests/test_limits_whole.py
@@ -8,11 +8,12 @@
 
 import pytest
 
-from harriertide.cli.daemon import Config, Daemon
+from harriertide.cli.daemon import Daemon
 from harriertide.decide.settings import Names
 from harriertide.engine.clock import until
 from harriertide.lab import virtual
 from harriertide.lab.limits import PLANS, SETTINGS
+from harriertide.platform.configuration import Config
 
 LIMIT, BURST, SLACK = PLANS[0].limit, PLANS[0].limit_burst, 6.0  # one of the largest requests
 LATE_S = 0.15  # what the limit allows in so long is slack too, on sockets
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,13 +12,14 @@
 
 import pytest
 
-from harriertide.cli.daemon import Config, Daemon
+from harriertide.cli.daemon import Daemon
 from harriertide.config import model
 from harriertide.decide.settings import from_wire, names_from_wire
 from harriertide.http import clients
 from harriertide.http.lines import Line, Pool
 from harriertide.objects.catalogue import Catalogue
 from harriertide.platform import discovery
+from harriertide.platform.configuration import Config
 from harriertide.platform.peers import address
 from tests.scenario import Stand, World
 from tests.test_wire import SETTINGS
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,322 @@
+"""The operators' address and the drain: calls whole, half and wrong, in any order, beside clients."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+
+from harriertide.http import clients
+from harriertide.http.limits import OPERATORS, Limits
+from harriertide.http.listening import listen
+from harriertide.lifecycle import operator_api
+from harriertide.lifecycle.machine import Lifecycle, Stage
+from harriertide.lifecycle.operator_api import MOST_CALLERS, OperatorApi
+from harriertide.platform.configuration import BadConfigError
+from tests.test_crossings import House, inside
+from tests.test_crossings import answer as reply
+from tests.test_crossings import short as short  # a fixture: stops are short
+
+SOON_S = 1.0  # by when each call of an operator is to be answered
+GET = b"GET /api/ready HTTP/1.1\r\nHost: x\r\n"
+POST = b"POST /api/rejoin HTTP/1.1\r\nHost: x\r\n"
+GOOD = GET + b"\r\n"
+
+
+# --- the state machine ---------------------------------------------------------------------------
+
+
+def test_a_process_that_starts_is_not_ready_and_a_drain_told_then_holds_from_its_first_moment() -> None:
+    life = Lifecycle()
+    assert not life.ready().done and not life.healthy
+    assert life.evacuate().done
+    life.serve()
+    assert life.ready().done and not life.healthy and life.ends_connections
+    assert life.rejoin().done and life.healthy and not life.ends_connections
+
+
+def test_calls_that_come_twice_change_nothing_more() -> None:
+    life = Lifecycle(Stage.SERVING)
+    for _ in range(2):
+        assert life.evacuate().done and life.drained
+    for _ in range(2):
+        assert life.rejoin().done and life.healthy
+
+
+def test_a_process_that_stops_takes_no_clients_back() -> None:
+    life = Lifecycle(Stage.SERVING)
+    life.evacuate()
+    life.stop()
+    assert not life.rejoin().done and not life.healthy and not life.ready().done
+    assert life.evacuate().done
+
+
+def test_a_superseded_process_speaks_for_the_newer_one_and_takes_no_calls() -> None:
+    life = Lifecycle(Stage.SERVING)
+    life.supersede()
+    assert life.healthy and life.ends_connections
+    assert not life.evacuate().done and not life.rejoin().done
+    life.stop()
+    assert life.healthy  # the broker serves, if not this process
+
+
+def test_a_process_takes_back_from_a_newer_one_that_died_unless_it_stops() -> None:
+    life = Lifecycle(Stage.SERVING, superseded=True)
+    life.take_back()
+    assert not life.superseded
+    life = Lifecycle(Stage.STOPPING, superseded=True)
+    life.take_back()
+    assert life.superseded
+
+
+# --- calls on sockets ----------------------------------------------------------------------------
+
+
+async def call(port: int, data: bytes) -> tuple[int, bytes]:
+    """Send bytes, read to the end: status and all that came."""
+    async with asyncio.timeout(SOON_S):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        answer = await reader.read()
+        writer.close()
+    return int(answer.split(b" ")[1]), answer
+
+
+@asynccontextmanager
+async def address(life: Lifecycle) -> AsyncIterator[tuple[int, OperatorApi]]:
+    api = OperatorApi(life, lambda: None)
+    server = await listen(("127.0.0.1", 0), api.connection)
+    try:
+        yield server.sockets[0].getsockname()[1], api
+    finally:
+        api.close()
+        server.close()
+
+
+CALLS = {
+    "ready": (GOOD, 200),
+    "in pieces of a query": (b"GET /api/ready?now=1 HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+    "a body": (b"POST /api/evacuate HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", 200),
+    "a chunked body": (
+        b"POST /api/rejoin HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 200,
+    ),
+    "unknown": (b"GET /api/stop HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    "the clients' own path": (b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    "wrong method": (b"GET /api/evacuate HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    "garbage": (b"\x16\x03\x01 what\r\n\r\n", 400),
+    "a body of two lengths": (GET + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    "another protocol": (b"GET /api/ready HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", 400),
+    "a long line": (b"GET /api/" + b"x" * 20_000 + b" HTTP/1.1\r\n\r\n", 431),
+    "many fields": (GET + b"X-A: b\r\n" * 2_000, 431),
+    "a long body": (POST + b"Content-Length: 90000\r\n\r\n" + b"x" * 90_000, 413),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("data, status", CALLS.values(), ids=CALLS.keys())
+def test_a_call_is_answered_once_and_closed(data: bytes, status: int) -> None:
+    async def main() -> None:
+        async with address(Lifecycle(Stage.SERVING)) as (port, _):
+            got, answer = await call(port, data)
+            assert got == status, answer
+            assert answer.count(b"HTTP/1.1") == 1 and b"Connection: close" in answer
+            assert (b"Allow: POST" in answer) == (status == 405)
+
+    asyncio.run(main())
+
+
+def test_a_call_in_single_bytes_counts_once_it_is_whole_and_half_of_one_never() -> None:
+    async def main() -> None:
+        life = Lifecycle(Stage.SERVING)
+        async with address(life) as (port, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            whole = b"POST /api/evacuate HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nyes"
+            for byte in whole[:-1]:
+                writer.write(bytes([byte]))
+                await writer.drain()
+            await call(port, GOOD)  # all that was written has been read by now, or nearly
+            assert not life.drained
+            writer.write(whole[-1:])
+            assert (await reader.read()).startswith(b"HTTP/1.1 200") and life.drained
+            _, half = await asyncio.open_connection("127.0.0.1", port)
+            half.write(b"POST /api/rejoin HTTP/1.1\r\nHost: x\r\n")
+            half.close()
+            await call(port, GOOD)
+            assert life.drained
+
+    asyncio.run(main())
+
+
+def test_callers_that_say_nothing_never_keep_out_one_that_calls() -> None:
+    async def main() -> None:
+        async with address(Lifecycle(Stage.SERVING)) as (port, api):
+            silent = []
+            for number in range(MOST_CALLERS + 40):
+                silent.append(await asyncio.open_connection("127.0.0.1", port))
+                if number % 2:
+                    silent[-1][1].write(b"GET /api/re")
+                if number % 8 == 0:
+                    assert (await call(port, GOOD))[0] == 200
+            assert len(api._callers) <= MOST_CALLERS
+            for _, writer in silent:
+                writer.close()
+
+    asyncio.run(main())
+
+
+def test_half_a_call_is_ended_after_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "CALL_S", 0.05)
+
+    async def main() -> None:
+        async with address(Lifecycle(Stage.SERVING)) as (port, api):
+            assert (await call(port, b"GET /api/ready HTTP/1.1\r\n"))[0] == 408
+            async with asyncio.timeout(SOON_S):
+                while api._callers:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(main())
+
+
+def test_descriptors_of_callers_are_kept_from_clients() -> None:
+    without, with_callers = Limits.share(384, 80), Limits.share(384, 80, OPERATORS)
+    taken = without.clients + without.boxes - with_callers.clients - with_callers.boxes
+    assert taken >= 0.9 * OPERATORS - 1
+
+
+# --- the drain -----------------------------------------------------------------------------------
+
+
+READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+EVACUATE, REJOIN = (b"POST /api/%s HTTP/1.1\r\nHost: x\r\n\r\n" % name for name in (b"evacuate", b"rejoin"))
+
+
+def drain(play: Callable[[House, int], Awaitable[None]], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Play on a daemon with an operators' address, whose drains are short."""
+    monkeypatch.setattr(clients, "RETIRE_S", 0.1)
+
+    async def main(house: House) -> None:
+        await play(house, house.daemon.operator_port())
+
+    inside(main, operator=("127.0.0.1", 0))
+
+
+async def healthy(house: House) -> bool:
+    """What a new connection's health check hears."""
+    return (await call(house.port, READY.replace(b"Host", b"Connection: close\r\nHost")))[0] == 200
+
+
+async def answered(client: socket.socket) -> bytes:
+    """One answer on a connection that may stay open."""
+    client.setblocking(False)
+    async with asyncio.timeout(SOON_S):
+        return await asyncio.get_running_loop().sock_recv(client, 65536)
+
+
+def test_from_the_call_on_the_health_check_says_no_and_answers_end_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(house: House, port: int) -> None:
+        kept = house.client()
+        kept.sendall(READY)
+        assert b"Connection: close" not in await answered(kept)
+        assert await healthy(house)
+        assert (await call(port, EVACUATE))[0] == 200
+        assert not await healthy(house)
+        kept.sendall(READY)
+        answer_bytes = await house.read(kept)  # to its end
+        assert answer_bytes.startswith(b"HTTP/1.1 503") and b"Connection: close" in answer_bytes
+        assert (await call(port, GOOD))[0] == 200  # the process itself can serve
+        assert (await call(port, REJOIN))[0] == 200
+        assert await healthy(house)
+
+    drain(play, monkeypatch)
+
+
+def test_a_drained_broker_serves_what_still_comes_and_no_connection_rests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(house: House, port: int) -> None:
+        resting = [await house.resting("/health/ready", "idle") for _ in range(20)]
+        busy = house.client()
+        busy.sendall(house.request())
+        line = await house.asked()
+        await call(port, EVACUATE)
+        late = house.client()
+        late.sendall(house.request())
+        reply(await house.asked())
+        assert b"200 OK" in await house.read(late)
+        for client in resting:
+            assert (await house.read(client)).endswith(b"ready\n")  # to an end in order, no reset
+        assert [len(house.daemon.clients.lines(state)) for state in ("silent", "idle", "busy")] == [0, 0, 1]
+        reply(line)
+        assert b"200 OK" in await house.read(busy)
+
+    drain(play, monkeypatch)
+
+
+def test_clients_that_never_stop_sending_are_all_sent_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(house: House, port: int) -> None:
+        crowd = [await house.resting("/health/ready", "idle") for _ in range(100)]
+
+        async def keep_sending(client: socket.socket) -> None:
+            loop = asyncio.get_running_loop()
+            client.setblocking(False)
+            with suppress(ConnectionError):  # it goes on behind the end, as some clients do
+                while await loop.sock_recv(client, 65536):
+                    await loop.sock_sendall(client, READY)
+                    await asyncio.sleep(0.002)
+
+        senders = [asyncio.create_task(keep_sending(client)) for client in crowd]
+        await call(port, EVACUATE)
+        async with asyncio.timeout(3):
+            await asyncio.gather(*senders)
+            while len(house.daemon.clients):
+                await asyncio.sleep(0.01)
+
+    drain(play, monkeypatch)
+
+
+def test_a_client_that_pipelines_is_answered_once_and_sent_away(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(house: House, port: int) -> None:
+        await call(port, EVACUATE)
+        client = house.client()
+        client.sendall(READY * 3)
+        assert (await house.read(client)).count(b"HTTP/1.1 ") == 1
+
+    drain(play, monkeypatch)
+
+
+def test_a_rejoin_within_the_drain_keeps_connections_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(house: House, port: int) -> None:
+        client = await house.resting("/health/ready", "idle")
+        await call(port, EVACUATE)
+        await call(port, REJOIN)
+        await asyncio.sleep(0.3)  # beyond the time in which the drain would have ended it
+        client.recv(65536)
+        client.sendall(READY)
+        assert (await answered(client)).startswith(b"HTTP/1.1 200")
+
+    drain(play, monkeypatch)
+
+
+def test_a_drain_outlasts_a_reload_and_a_stop_ends_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(house: House, port: int) -> None:
+        await call(port, EVACUATE)
+        house.daemon.reload({})  # LB_CONFIG can't be read: what is in force stays
+        assert not await healthy(house)
+        stopping = asyncio.create_task(house.stop())
+        await asyncio.sleep(0)
+        assert (await call(port, REJOIN))[0] == 409
+        assert (await call(port, GOOD))[0] == 503
+        await stopping
+
+    drain(play, monkeypatch)
+
+
+def test_an_address_that_is_taken_is_named_with_its_key() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as other, pytest.raises(BadConfigError, match="operator: "):
+        inside(lambda house: house.settle(), operator=other.getsockname())
