Pass long bodies on as they come: an attempt ends with its answer's first bytes

While a long answer was read by a slow client its attempt counted as out, for seconds (logs of each answer, trials).

Answers: the attempt ends with the first 64 KiB, or 50 ms behind the first bytes where more is sure to follow; the rest is passed on, in the client's framing, and reading stops where the client doesn't read. What breaks off is cut so that the client can tell. Requests up to 32 MiB: kept whole within a budget and repeated like any other; beyond it they are sent on as they come, once, and never to a cold node or of a plan with a limit (their last byte may come any time). Reading has time by what has come.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -24,6 +24,7 @@
 from harriertide.http.limits import read_limits
 from harriertide.http.listening import InheritError, inherit, listen
 from harriertide.http.nodes import NodeClient
+from harriertide.http.relay import BodyBudget
 from harriertide.lifecycle.machine import Lifecycle
 from harriertide.platform.configuration import BadConfigError, Config, read_config
 from harriertide.platform.discovery import Directory, Watch
@@ -82,7 +83,8 @@
         limits = config.limits if config is not None else read_limits()
         self.clients = ConnectionTable(limits)
         self.client = NodeClient(self._find, names.connect_us, names.idle_us, limits)
-        self.front = Front(self.runtime, self.client, names)
+        self.bodies = BodyBudget(limits.bodies)
+        self.front = Front(self.runtime, self.client, names, self.bodies)
         self.apply_life()
         self.watch: Watch | None = None
         self.peers: Peers | None = None
@@ -179,6 +181,7 @@
         limits = self.config.limits.half() if shares else self.config.limits
         self.client.pool.limit(limits)
         self.clients.limit(limits)
+        self.bodies.most = limits.bodies
 
     def counters(self) -> dict[str, int]:
         """All counts, by part and name."""
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -10,9 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """A front has taken a request."""
+    """A front has taken a request. streams: its body is sent on as it comes, and its last byte may be far."""
 
     arrival: api.Arrival
+    streams: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,7 @@
     attempt: int
     kind: api.OutcomeKind
     reply: object = None
+    written_us: int = 0  # when its last byte was written, where that was long after its first
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,4 +154,13 @@
     text: str
 
 
-Effect: TypeAlias = StartAttempt | StopAttempt | Answer | SetTimer | TellPeer | OpenWatch | StartProbe | Say
+@dataclass(frozen=True, slots=True)
+class Unwanted:
+    """A reply of an attempt that came too late to be the final answer."""
+
+    reply: object
+
+
+Effect: TypeAlias = (
+    StartAttempt | StopAttempt | Answer | SetTimer | TellPeer | OpenWatch | StartProbe | Say | Unwanted
+)
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -59,6 +59,7 @@
     stop_us: int = 0  # of the attempt that is out
     settled_us: int = 0  # the last attempt counts as over at its box from then on
     answered: bool = False
+    streams: bool = False  # its body is sent on as it comes
 
 
 class Reducer:
@@ -149,6 +150,8 @@
         if limited and now_us - taken.first_us > LIMIT_WRITE_US:
             return "moot"
         cold = node.started_us > 0 and now_us < node.started_us + self.settings.cold_us
+        if taken.streams and (cold or limited):
+            return "full"  # its last byte comes any time later: what it may take of a budget is of now
         if cold and now_us - taken.sent_us > COLD_WRITE_US:
             return "connect_failed"
         return None
@@ -170,7 +173,7 @@
     def _take(self, now_us: int, event: ev.Event) -> list[api.Event]:
         """Book one event; what the module hears of it."""
         if isinstance(event, ev.Arrived):
-            return self._arrive(event.arrival)
+            return self._arrive(event.arrival, event.streams)
         if isinstance(event, ev.Ended):
             return self._end(now_us, event)
         if isinstance(event, ev.Began):
@@ -195,20 +198,23 @@
             return []
         return [api.Woke(event.token)]
 
-    def _arrive(self, arrival: api.Arrival) -> list[api.Event]:
+    def _arrive(self, arrival: api.Arrival, streams: bool) -> list[api.Event]:
         self.counts["taken"] += 1
         if arrival.request in self._taken:
             # a front checks holds() first; the first holder of the id keeps its one answer
             self.counts["same_id"] += 1
             return []
         self.offered_units += arrival.units
-        self._taken[arrival.request] = Taken(arrival, settled_us=self._settling.pop(arrival.request, 0))
+        settled_us = self._settling.pop(arrival.request, 0)
+        self._taken[arrival.request] = Taken(arrival, settled_us=settled_us, streams=streams)
         return [arrival]
 
     def _end(self, now_us: int, event: ev.Ended) -> list[api.Event]:
         taken = self._taken.get(event.request)
         if taken is None or taken.out != event.attempt:
             self.counts["stray_outcome"] += 1
+            if event.reply is not None:
+                self._effects.append(ev.Unwanted(event.reply))
             return []
         self.counts[f"outcome_{event.kind}"] += 1
         node, taken.out = taken.node, -1
@@ -226,9 +232,11 @@
             taken.settled_us = now_us + SETTLE_US
         if event.kind == "ok" and not taken.answered:
             self._answer(taken, ev.Answer(event.request, "served", event.reply))
+        elif event.reply is not None:
+            self._effects.append(ev.Unwanted(event.reply))
         if taken.answered:
             self._let_go(taken)
-        took_us = now_us - taken.sent_us
+        took_us = now_us - max(taken.sent_us, event.written_us)
         return [api.Outcome(event.request, event.attempt, node, event.kind, took_us, taken.answered)]
 
     def _leave(self, request: str) -> list[api.Event]:
@@ -319,7 +327,7 @@
 
     def _cancel(self, action: api.Cancel) -> None:
         taken = self._taken.get(action.request)
-        if taken is not None and taken.out == action.attempt:
+        if taken is not None and taken.out == action.attempt and not taken.streams:
             self.counts["cancels"] += 1
             self._effects.append(ev.StopAttempt(action.request, action.attempt))
 
--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -8,7 +8,7 @@
 from contextvars import Context
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from harriertide.core import events as ev
 from harriertide.core.reducer import Reducer
@@ -29,6 +29,7 @@
     node: str
     stop_at_us: int
     from_us: int = 0  # not to be written before
+    written_us: int = 0  # when its last byte was, where it was sent on as it came
 
     def may_write(self) -> api.OutcomeKind | None:
         """None: write now. Else the attempt ends so, with nothing written."""
@@ -58,6 +59,14 @@
         """The final answer."""
 
 
+@runtime_checkable
+class Disposable(Protocol):
+    """A reply that holds something, which is let go where nobody wants it."""
+
+    def dispose(self) -> None:
+        """Let go."""
+
+
 class Runtime:
     """Owns the loop's side of the core; all fronts share one."""
 
@@ -75,12 +84,12 @@
         self._closed = False
         self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
 
-    def submit(self, arrival: api.Arrival, job: Job) -> bool:
-        """Take a request into the core; False if its id is in use."""
+    def submit(self, arrival: api.Arrival, job: Job, streams: bool = False) -> bool:
+        """Take a request into the core; False if its id is in use. streams: see Arrived."""
         if arrival.request in self._jobs or self.core.holds(arrival.request):
             return False
         self._jobs[arrival.request] = job
-        self.post(ev.Arrived(arrival))
+        self.post(ev.Arrived(arrival, streams))
         return True
 
     def left(self, request: str) -> None:
@@ -181,6 +190,9 @@
             self.watch()
         elif isinstance(effect, ev.StartProbe):
             self.probe(effect.node)
+        elif isinstance(effect, ev.Unwanted):
+            if isinstance(effect.reply, Disposable):
+                effect.reply.dispose()
         else:
             log("core", text=effect.text)
 
@@ -203,7 +215,7 @@
     def _end(self, attempt: Attempt, kind: api.OutcomeKind, reply: object) -> None:
         """Exactly one Ended for each attempt, whatever the performer does."""
         if self._tasks.pop((attempt.request, attempt.number), None) is not None:
-            self.post(ev.Ended(attempt.request, attempt.number, kind, reply))
+            self.post(ev.Ended(attempt.request, attempt.number, kind, reply, attempt.written_us))
 
     def _stopped(self, attempt: Attempt, task: asyncio.Task[None]) -> None:
         """Its task is over; where the core has stopped it, maybe before it began, it says so here."""
--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -70,6 +70,11 @@
             self.table.move(self, "reading")
         super().data_received(data)
 
+    @property
+    def reading_s(self) -> float:
+        """Time for a request to come, once it has begun."""
+        return READ_S
+
     def unsent(self) -> int:
         """Bytes of answers that are still to be written."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
@@ -177,6 +182,8 @@
         for line in list(self._lines[state]) if self._lines[state] else ():
             if shed >= most:
                 break
+            if state == "reading" and not hurry and line.since + line.reading_s > self._loop.time():
+                continue
             # a close on a request that lies there unread would be a lost one to its client
             if line.since > due or (state in ("silent", "idle") and unread(line.transport)):
                 continue
--- a/harriertide/http/limits.py
+++ b/harriertide/http/limits.py
@@ -16,16 +16,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Connections at most, by side; bytes of one answer of a box, and of all answers held at once."""
+    """Connections at most, by side; bytes of one answer held whole, of all answers, and of all requests."""
 
     clients: int
     boxes: int
     answer: int
     held: int
+    bodies: int  # bytes of requests that are kept to be sent, again if need be
 
     def half(self) -> Limits:
         """For one of two processes that count as one broker."""
-        return Limits(self.clients // 2, self.boxes // 2, self.answer, self.held // 2)
+        return Limits(self.clients // 2, self.boxes // 2, self.answer, self.held // 2, self.bodies // 2)
 
     @classmethod
     def share(cls, sockets: int, memory_mb: int, reserved: int = 0) -> Limits:
@@ -33,7 +34,8 @@
         left = max(16, int((sockets - OWN - reserved) * (1 - SPARE_PART)))
         boxes = int(left * BOXES_PART)
         spare = max(LEAST_MB, memory_mb - OWN_MB) << 20
-        return cls(left - boxes, boxes, answer=min(8 << 20, max(1 << 20, spare // 16)), held=spare // 3)
+        answer = min(8 << 20, max(1 << 20, spare // 16))
+        return cls(left - boxes, boxes, answer, held=spare // 3, bodies=spare // 3)
 
 
 def read_limits(stated: Part | None = None, reserved: int = 0) -> Limits:
--- a/harriertide/http/lines.py
+++ b/harriertide/http/lines.py
@@ -24,6 +24,8 @@
 
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
+RELAY_BYTES = 64 * 1024 * 1024  # of an answer that is passed on as it comes; the longest are half of that
+RELAY_HELD = 4 * READ_BYTES  # of such an answer are in memory at most, on both sides of the broker
 STALL_S = 0.06
 REST_S = 0.01  # behind an answer, for what a box in trouble sends some milliseconds after it
 _EOF_LINES = frozenset((204, 304))
@@ -59,6 +61,7 @@
         self._head = b""
         self._heads = self._left = self._most = 0
         self._whole = self._ended = False
+        self._held_most = 0
         self._message: RawResponseMessage | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -85,18 +88,25 @@
         self._ended = True
         super().eof_received()
 
-    def ask(self, data: bytes, most: int | None) -> None:
+    def ask(self, data: bytes, most: int | None, relayed: bool = False) -> None:
         """Write a request, or the beginning of one.
 
-        most: bytes that the answer's body may have; None where it will be held as a whole.
+        most: bytes that the answer's body may have; None where it will be held as a whole. relayed: its first
+        part will be held, and then maybe passed on.
         """
         if self.transport is None:
             raise aiohttp.ClientConnectionResetError("the connection is gone")
         self._phase, self._heads, self._message = Phase.HEAD, 0, None
-        self._whole, self._most = most is None, self._pool.answer if most is None else most
+        self._whole, self._most = most is None or relayed, self._pool.answer if most is None else most
+        self._held_most = RELAY_HELD if relayed else self._most
         self.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=READ_BYTES)
         self.transport.write(data)
 
+    def pass_on(self) -> None:
+        """From here on the answer goes to its client as it comes: it may come slowly."""
+        self._whole = False
+        self._watch(False)
+
     async def more(self, data: bytes) -> None:
         """Write more of a request, when what was written before is out."""
         await self._drain_helper()
@@ -172,7 +182,7 @@
                 self._too_much()
         elif self._phase is Phase.OPEN:
             self._left -= len(data)
-            if self._left < 0 or (self._whole and not self._pool.hold(self, len(data))):
+            if self._left < 0 or (self._whole and not self._hold(len(data))):
                 self._spoil("a body over its bound")
                 return
             super().data_received(data)
@@ -216,7 +226,7 @@
         elif sizes:
             self._left = int(sizes[0])
             self._phase = Phase.SIZED if self._left else Phase.WHOLE
-            if self._left > self._most or (self._whole and not self._pool.hold(self, self._left)):
+            if self._left > self._most or (self._whole and not self._hold(self._left)):
                 self._spoil("a body over its bound")
         elif message.code in _EOF_LINES:
             self._phase = Phase.WHOLE
@@ -227,6 +237,10 @@
         else:
             self._spoil("a body without a length")
 
+    def _hold(self, size: int) -> bool:
+        """Whether there is room in memory for so much more of the answer, as far as it will be held."""
+        return self._pool.hold(self, max(0, min(size, self._held_most - self.held)))
+
     @staticmethod
     def _says_close(message: RawResponseMessage) -> bool:
         return message.version < HttpVersion11 or "close" in message.headers.get("Connection", "").lower()
--- a/harriertide/http/nodes.py
+++ b/harriertide/http/nodes.py
@@ -16,12 +16,16 @@
 from harriertide.engine.clock import until
 from harriertide.engine.runtime import Attempt
 from harriertide.http.limits import Limits
-from harriertide.http.lines import Line, Pool
+from harriertide.http.lines import RELAY_BYTES, Line, Pool
+from harriertide.http.relay import Remainder
 
 Body = bytes | AsyncIterator[bytes]
 Headers = Mapping[str, str] | Sequence[tuple[bytes, bytes]]
 KEEP_PART = 0.5  # of the node's idle time: a request that crosses its close would end as a reset
 BODY_BYTES = 64 * 1024  # of an answer, where no more is asked for
+# An attempt whose answer is passed on ends with so much of it, or so long behind its first bytes. What breaks
+# before that may be made good by another attempt.
+FIRST_BYTES, FIRST_S, SOME_BYTES = 64 * 1024, 0.05, 4096
 
 
 class BrokenError(Exception):
@@ -34,25 +38,56 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A node's whole answer."""
+    """A node's answer: whole, or as far as it has come."""
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    rest: Remainder | None = None  # behind that part of the body; None: it is whole
+
+    def dispose(self) -> None:
+        """Nobody wants it any more."""
+        if self.rest is not None:
+            self.rest.dispose()
 
 
 class Incoming:
     """A node's answer, its head read and its body on the way. The line bounds how much may come."""
 
-    __slots__ = ("status", "headers", "content")
+    __slots__ = ("status", "headers", "content", "line", "detached")
 
-    def __init__(self, status: int, headers: Mapping[str, str], content: StreamReader) -> None:
-        self.status, self.headers, self.content = status, headers, content
+    def __init__(self, status: int, headers: Mapping[str, str], content: StreamReader, line: Line) -> None:
+        self.status, self.headers, self.content, self.line = status, headers, content, line
+        self.detached = False  # its connection has another owner now
 
     async def read(self) -> bytes:
         """The whole body."""
         return await self.content.read()
 
+    async def first(self) -> bytes:
+        """The first part of the body: FIRST_BYTES, or what has come FIRST_S after its first bytes.
+
+        Less only where more is sure to follow: the length says so, or SOME_BYTES have come and it goes on.
+        """
+        loop = asyncio.get_running_loop()
+        long = (self.content_length or 0) > FIRST_BYTES
+        first = bytearray()
+        enough_at: float | None = None
+        while len(first) < FIRST_BYTES and not self.content.at_eof():
+            if enough_at is not None and loop.time() >= enough_at and (long or len(first) >= SOME_BYTES):
+                break
+            limit = asyncio.timeout_at(enough_at if long else None)
+            try:
+                async with limit:
+                    first += await self.content.readany()
+            except TimeoutError:
+                if not limit.expired():
+                    raise
+                break
+            if enough_at is None and first:
+                enough_at = loop.time() + FIRST_S
+        return bytes(first)
+
     @property
     def content_length(self) -> int | None:
         """As the head says."""
@@ -108,8 +143,9 @@
         headers: Headers,
         body: Body = b"",
         most: int | None = BODY_BYTES,
+        relayed: bool = False,
     ) -> AsyncIterator[Incoming]:
-        """Send the request; the answer as it comes. most: bytes that its body may have; None: see ask().
+        """Send the request; the answer as it comes. most, relayed: see Line.ask.
 
         Raises BrokenError as PROTOCOL's table has it.
         """
@@ -118,6 +154,7 @@
             raise BrokenError("full")
         line: Line | None = None
         asked = False
+        incoming: Incoming | None = None
         stream: asyncio.Task[None] | None = None
         try:
             async with asyncio.timeout_at(attempt.runtime.clock.loop_time(attempt.stop_at_us)) as limit:
@@ -131,13 +168,14 @@
                     self.pool.rest(line)
                     line = None
                     raise BrokenError(kind)
-                line.ask(_head(method, target, _rows(headers)) + first, most)
+                line.ask(_head(method, target, _rows(headers)) + first, most, relayed)
                 self.pool.begin(line, attempt.request)
                 asked = True
                 if not isinstance(body, bytes):
-                    stream = asyncio.get_running_loop().create_task(self._stream(line, body))
+                    stream = asyncio.get_running_loop().create_task(self._stream(line, body, attempt))
                 message, content = await line.read()
-                yield Incoming(message.code, message.headers, content)
+                incoming = Incoming(message.code, message.headers, content, line)
+                yield incoming
         except TimeoutError:
             raise BrokenError(self._end("timeout", line, asked, stream)) from None
         except (aiohttp.ClientError, HttpProcessingError, OSError):
@@ -145,7 +183,7 @@
         finally:
             if stream is not None and not self._let_go(stream) and line is not None:
                 line.force_close()  # an early answer: the rest of the body would be taken for a request
-            if line is not None:
+            if line is not None and not (incoming is not None and incoming.detached):
                 self.pool.put(line)
 
     @staticmethod
@@ -196,12 +234,13 @@
                 return
             await asyncio.wait([closed])
 
-    async def _stream(self, line: Line, body: AsyncIterator[bytes]) -> None:
+    async def _stream(self, line: Line, body: AsyncIterator[bytes], attempt: Attempt) -> None:
         """The rest of a body that passes through."""
         try:
             async for chunk in body:
                 await line.more(chunk)
             await line.drained()
+            attempt.written_us = attempt.runtime.clock.now_us()
         except BaseException:
             line.abort()  # with its last byte missing the box does not start it
             raise
@@ -231,6 +270,22 @@
                 self.pool.put(line)
         return "ok" if message.code == 200 else "error"
 
+    async def relay(
+        self, attempt: Attempt, method: str, target: str, headers: Headers, body: Body
+    ) -> tuple[api.OutcomeKind, Reply | None]:
+        """An exchange whose answer is passed on: over with its first part, if it is a good one and longer."""
+        try:
+            async with self.open(attempt, method, target, headers, body, RELAY_BYTES, relayed=True) as answer:
+                first = await answer.first()
+                kind = outcome(answer)
+                if kind != "ok" or answer.content.at_eof():
+                    return kind, Reply(answer.status, answer.headers, first)
+                answer.detached = True
+                rest = Remainder(answer.line, self.pool, answer.content, answer.content_length)
+                return kind, Reply(answer.status, answer.headers, first, rest)
+        except BrokenError as end:
+            return end.kind, None
+
     async def exchange(
         self, attempt: Attempt, method: str, target: str, headers: Headers, body: bytes
     ) -> tuple[api.OutcomeKind, Reply | None]:
--- /dev/null
+++ b/harriertide/http/relay.py
@@ -0,0 +1,60 @@
+"""Long bodies on their way through: what is still to come of one, and what is kept of all.
+
+Reading stops where the other side does not take what came: a body that passes through holds a bounded part of
+itself in memory, however long it is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from aiohttp.streams import StreamReader
+
+from harriertide.http.lines import Line, Pool
+
+IDLE_S = 10.0  # without a byte from the one that sends, or one taken by the one that reads, a body is over
+
+
+class Remainder:
+    """What is still to come of a node's answer, with the connection on which it comes."""
+
+    def __init__(self, line: Line, pool: Pool, content: StreamReader, length: int | None) -> None:
+        self._line: Line | None = line
+        self._pool, self._content = pool, content
+        self.length = length  # of the whole answer; None: not said
+        line.pass_on()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """All that comes, to the end; raises as the connection does where it breaks."""
+        while True:
+            async with asyncio.timeout(IDLE_S):
+                chunk = await self._content.readany()
+            if not chunk:
+                return
+            yield chunk
+
+    def dispose(self) -> None:
+        """Nothing more of it is wanted: the connection is kept only if it came whole."""
+        line, self._line = self._line, None
+        if line is not None:
+            self._pool.put(line)
+
+
+class BodyBudget:
+    """Bytes of clients' bodies that are kept so that they may be sent again."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.used = 0
+
+    def take(self, size: int, at_any_rate: bool = False) -> bool:
+        """Whether there is room for so many more; at_any_rate: they are counted where there is none, too."""
+        if self.used + size > self.most and not at_any_rate:
+            return False
+        self.used += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """They are not kept any more."""
+        self.used -= size
--- a/harriertide/platform/fields.py
+++ b/harriertide/platform/fields.py
@@ -98,9 +98,18 @@
 
 
 def read_arrival(
-    method: str, target: str, fields: Fields, now_us: int, names: Names, settings: api.Settings
+    method: str,
+    target: str,
+    fields: Fields,
+    now_us: int,
+    names: Names,
+    settings: api.Settings,
+    coming: bool = False,
 ) -> api.Arrival:
-    """What the decisions need. A client waits no longer than its class lets it."""
+    """What the decisions need. A client waits no longer than its class lets it.
+
+    coming: the body is not whole. Then its client waits as it says, as the class counts from the last byte.
+    """
     if method not in ("GET", "PUT"):
         raise MalformedError("the method must be GET or PUT")
     request = _text(fields, b"x-call-id")
@@ -118,13 +127,14 @@
     keys = [part[4:] for part in query.split("&") if part.startswith("key=")]
     if len(keys) > 1:
         raise MalformedError("key is there twice")
+    wait_us = budget_us if coming else min(budget_us, settings.classes[kind].deadline_us)
     return api.Arrival(
         request=request,
         request_class=kind,
         plan=plan,
         volume=_hex16(extent.get("volume", ""), "X-Extent: volume"),
         shard=_whole(extent.get("shard", ""), "X-Extent: shard", -1),
-        give_up_us=now_us + min(budget_us, settings.classes[kind].deadline_us) - SENT_BEFORE_US,
+        give_up_us=now_us + wait_us - SENT_BEFORE_US,
         units=_number(extent.get("units", ""), "X-Extent: units", settings.most_units),
         key=_hex16(keys[0], "key") if keys else "",
         hosts=_whole(extent.get("hosts", "1"), "X-Extent: hosts", 1),
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import Counter
+from collections.abc import AsyncIterator
 from email.utils import formatdate
 from typing import Any
 
+import aiohttp
+from aiohttp import HttpVersion11
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawRequestMessage
@@ -22,9 +27,14 @@
 from harriertide.http.clients import ClientConnection, ConnectionTable, FrontServer
 from harriertide.http.nodes import NodeClient, Reply
 from harriertide.http.quiet import ended
+from harriertide.http.relay import IDLE_S, BodyBudget, Remainder
 from harriertide.platform.fields import Fields, MalformedError, passed_on, read_arrival, read_fields
 
-BODY_BYTES = 64 * 1024
+BODY_BYTES = 32 * 1024 * 1024  # of a request
+SMALL_BYTES = 64 * 1024  # a body up to so much is kept at any rate
+SLOWEST_BYTES_S = 32_000  # of a body that is still taken: half of what the slowest clients send
+LAST_CHUNK = b"0\r\n\r\n"
+RESET = struct.pack("ii", 1, 0)  # of a socket's linger option: the connection is reset as it is closed
 READY, SERVICE = "/health/ready", "/api"
 _REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large", 502: "Bad Gateway",
@@ -39,7 +49,11 @@
     __slots__ = ("_client", "_line", "_method", "_target", "_rows", "_body")
 
     def __init__(
-        self, client: NodeClient, line: PlatformConnection, message: RawRequestMessage, body: bytes
+        self,
+        client: NodeClient,
+        line: PlatformConnection,
+        message: RawRequestMessage,
+        body: bytes | ComingBody,
     ) -> None:
         self._client, self._line, self._body = client, line, body
         self._method, self._target = message.method, message.path
@@ -49,7 +63,14 @@
         """Pass the request on as it came, with the time that this broker will wait."""
         wait_ms = max(1, (attempt.stop_at_us - attempt.runtime.clock.now_us()) // 1000)
         rows = [*self._rows, (b"X-Budget-Ms", b"%d" % wait_ms)]
-        return await self._client.exchange(attempt, self._method, self._target, rows, self._body)
+        if isinstance(self._body, ComingBody):
+            rows.append(self._body.framing)
+            return await self._client.relay(
+                attempt, self._method, self._target, rows, self._body.chunks(attempt)
+            )
+        if self._body or self._method != "GET":
+            rows.append((b"Content-Length", b"%d" % len(self._body)))
+        return await self._client.relay(attempt, self._method, self._target, rows, self._body)
 
     def gone(self) -> bool:
         """Whether the client has closed its connection, or its side of it."""
@@ -60,7 +81,7 @@
         if answer.kind == "served" and isinstance(answer.reply, Reply):
             reply = answer.reply
             kind = reply.headers.get("Content-Type", "application/octet-stream")
-            self._line.respond(200, reply.body, f"Content-Type: {kind}\r\n")
+            self._line.respond(200, reply.body, f"Content-Type: {kind}\r\n", reply.rest)
         elif answer.kind == "refused":
             wait = f"Retry-After: {answer.retry_after_us / 1e6:.3f}\r\n" if answer.retry_after_us > 0 else ""
             self._line.respond(503, b"refused: trying again is harmless\n", wait)
@@ -71,14 +92,22 @@
 class PlatformConnection(ClientConnection):
     """One connection of a client of the platform: one request at a time."""
 
-    __slots__ = ("_front", "_body", "_closing", "_message", "request", "fields")
+    __slots__ = (
+        "_front", "_body", "_closing", "_message", "_kept", "_come", "_looking", "_kept_bytes",
+        "_sending", "request", "fields",
+    )  # fmt: skip
 
     def __init__(self, server: PlatformServer, **named: Any) -> None:
         super().__init__(server, max_line_size=16_384, auto_decompress=False, **named)
         self._front = server.front
         self._message: RawRequestMessage | None = None  # read, its body or its answer on the way
         self._body: StreamReader | None = None
+        self._kept: list[bytes] = []  # of the body, while it comes
+        self._come = 0  # bytes of it
+        self._looking = False  # its reader is being read
+        self._kept_bytes = 0  # that count against the budget of bodies, until the request is answered
         self._closing = False
+        self._sending: asyncio.Task[None] | None = None  # the rest of an answer
         self.request = ""  # its id while the core has it
         self.fields: Fields = {}
 
@@ -91,39 +120,58 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         if self.request:
             self._front.left(self)
+        if self._sending is not None:
+            self._sending.cancel()
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(ConnectionResetError("the client has gone"))
+        self._give_back()
         super().connection_lost(exc)
 
+    def _give_back(self) -> None:
+        self._front.bodies.give_back(self._kept_bytes)
+        self._kept_bytes, self._kept, self._come = 0, [], 0
+
     # --- what comes ----------------------------------------------------------------------------
 
+    @property
+    def reading_s(self) -> float:
+        """Time for the rest of a request to come: more, the more of its body has come."""
+        return super().reading_s + self._come / SLOWEST_BYTES_S
+
     def data_received(self, data: bytes) -> None:
         """Take a request as soon as it is whole.
 
         Clients send one at a time. One that does not is answered the first, and closed: what it sent ahead is
         not read, so that it costs the others nothing.
         """
-        if not data:  # the reader of a body has caught up; none is longer than what is read ahead
+        if not data and self._body is None:  # the reader of a body has caught up, and it is over
             return
         if self.state == "lingering":
             self.discard(data)
             return
-        self._closing = self._closing or self.state == "busy"
-        if self._closing or self._force_close:
+        streams = self._body is not None and self.state == "busy"
+        self._closing = self._closing or (self.state == "busy" and not streams)
+        if (self._closing and not streams) or self._force_close:
             return
-        if self.state != "reading":
+        if self.state != "reading" and not streams:
             self.table.move(self, "reading")
         assert self._parser is not None
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError):
-            self.refuse(400, "the request can't be read")
+            if not streams:  # else its reader hears of it
+                self.refuse(400, "the request can't be read")
             return
         if upgraded:
             self.refuse(400, "no other protocol is spoken here")
             return
+        if streams:
+            self._closing = self._closing or bool(messages)
+            return
         if messages:
             self._closing = len(messages) > 1
             self._begin(*messages[0])
-        if self._body is not None:
+        if self._body is not None and not self._looking:
             self._look_at_body(self._body)
 
     def _begin(self, message: RawRequestMessage, body: StreamReader) -> None:
@@ -136,54 +184,169 @@
             return
         size = self.fields.get(b"content-length", b"0")
         if len(size) > 9 or not size.isdigit() or int(size) > BODY_BYTES:
-            self.refuse(413, "the body is over 64 KiB")  # unread
+            self.refuse(413, "the body is too long")  # unread
             return
         if self.fields.get(b"expect", b"").lower() == b"100-continue" and not body.is_eof():
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._body = body
+        self._keep(int(size))
+
+    def _keep(self, size: int) -> bool:
+        """Whether there is room to keep so many bytes of the body in all."""
+        more = size - self._kept_bytes
+        if more > 0 and self._front.bodies.take(more, at_any_rate=size <= SMALL_BYTES):
+            self._kept_bytes = size
+        return self._kept_bytes >= size
 
     def _look_at_body(self, body: StreamReader) -> None:
+        """Keep what has come. What there is no room for is sent on as it comes."""
         if body.exception() is not None:
             self.refuse(400, "the body can't be read")
-        elif body.total_bytes > BODY_BYTES:
-            self.refuse(413, "the body is over 64 KiB")
-        elif body.is_eof():
-            message, self._body = self._message, None
-            assert message is not None and self._parser is not None
+            return
+        self._looking = True  # a reader that has room again has the parser go on, within the call
+        while part := body.read_nowait(-1):
+            self._kept.append(part)
+            self._come += len(part)
+        self._looking = False
+        message, come = self._message, self._come
+        assert message is not None and self._parser is not None
+        if body.is_eof():
+            self._body = None
             self._parser.message_consumed()
             self.table.move(self, "busy")
-            self._front.take(self, message, body.read_nowait(-1))
+            self._front.take(self, message, b"".join(self._kept))
+        elif come > BODY_BYTES:
+            self.refuse(413, "the body is too long")
+        elif not self._keep(max(come, int(self.fields.get(b"content-length", b"0")))) and come >= SMALL_BYTES:
+            self.table.move(self, "busy")
+            self._front.take(self, message, ComingBody(self, body, b"".join(self._kept)))
+
+    def too_long(self) -> None:
+        """A body that was sent on as it came goes beyond the bound: no answer of a node counts any more."""
+        self._front.left(self)
+        self.refuse(413, "the body is too long")
+
+    def body_taken(self) -> None:
+        """A body that was sent on as it came has come to its end."""
+        self._body = None
+        if self._parser is not None:
+            self._parser.message_consumed()
 
     # --- what goes -----------------------------------------------------------------------------
 
-    def respond(self, status: int, body: bytes, fields: str = "") -> None:
-        """The one answer to the request that was read."""
+    def respond(self, status: int, body: bytes, fields: str = "", rest: Remainder | None = None) -> None:
+        """The one answer to the request that was read. rest: behind that part of its body."""
         message, self._message, self.request = self._message, None, ""
+        self._give_back()
         transport = self.transport
         if transport is None or transport.is_closing():
+            if rest is not None:
+                rest.dispose()
             return
         self._front.counts[f"answers_{status}"] += 1
+        if self._body is not None:  # it is not whole, and will not be read on
+            self._closing, self._body = True, None
+        old = message is not None and message.version < HttpVersion11
+        unsized = rest is not None and rest.length is None
         closes = self._closing or self._front.last or message is None or message.should_close
+        closes = closes or (old and unsized)
         if closes:
             fields += "Connection: close\r\n"
-        head = (
-            f"HTTP/1.1 {status} {_REASONS[status]}\r\n{fields}Date: {self._front.date()}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
+        if not unsized:
+            fields += f"Content-Length: {len(body) if rest is None else rest.length}\r\n"
+        elif not old:
+            fields += "Transfer-Encoding: chunked\r\n"
+        head = f"HTTP/1.1 {status} {_REASONS[status]}\r\n{fields}Date: {self._front.date()}\r\n\r\n"
         shown = b"" if message is not None and message.method == "HEAD" else body
-        transport.write(head.encode("utf-8", "surrogateescape") + shown)
-        if closes:
+        if rest is None or not shown:
+            transport.write(head.encode("utf-8", "surrogateescape") + shown)
+            if rest is not None:
+                rest.dispose()
+            self._answered(closes)
+            return
+        chunked = unsized and not old
+        transport.write(head.encode("utf-8", "surrogateescape") + (_chunk(shown) if chunked else shown))
+        sending = self._send(rest, chunked, closes, cut=unsized and old)
+        self._sending = asyncio.get_running_loop().create_task(sending)
+
+    def _answered(self, closes: bool) -> None:
+        if closes or self._closing:
             self.linger()
         else:
             self.table.move(self, "idle")
 
+    async def _send(self, rest: Remainder, chunked: bool, closes: bool, cut: bool) -> None:
+        """The rest of an answer, as fast as the client reads it. cut: only the connection's end ends it."""
+        transport = self.transport
+        assert transport is not None
+        try:
+            async for chunk in rest.chunks():
+                transport.write(_chunk(chunk) if chunked else chunk)
+                async with asyncio.timeout(IDLE_S):
+                    await self._drain_helper()
+            if chunked:
+                transport.write(LAST_CHUNK)
+            self._sending = None
+            self._answered(closes)
+        except (OSError, TimeoutError, aiohttp.ClientError, HttpProcessingError):
+            self._front.counts["answers_broken"] += 1
+            if cut:
+                self._reset(transport)
+            else:
+                self.drop()
+        finally:
+            rest.dispose()
+
+    def _reset(self, transport: asyncio.Transport) -> None:
+        """End the connection with a reset: an end in order would pass for the answer's own."""
+        end = transport.get_extra_info("socket")
+        if end is not None:
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.force_close()
+        transport.abort()
+
     def refuse(self, status: int, reason: str) -> None:
         """An answer to what can't be served, the last one on this connection."""
         self._closing, self._body = True, None
         self.respond(status, f"{reason}\n".encode())
 
 
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class ComingBody:
+    """The body of a request that is sent on as it comes: what has come so far, and the rest once."""
+
+    def __init__(self, line: PlatformConnection, reader: StreamReader, begun: bytes) -> None:
+        self._line, self._reader, self._begun = line, reader, begun
+        size = line.fields.get(b"content-length")
+        self._chunked = size is None
+        self.framing = (b"Content-Length", size) if size is not None else (b"Transfer-Encoding", b"chunked")
+
+    async def chunks(self, attempt: Attempt) -> AsyncIterator[bytes]:
+        """All of it, in its framing. From its second part on no other attempt can be made."""
+        yield self._framed(self._begun)
+        attempt.runtime.began(attempt)
+        come, self._begun = len(self._begun), b""
+        while not self._reader.at_eof():
+            async with asyncio.timeout(IDLE_S):
+                chunk = await self._reader.readany()
+            come += len(chunk)
+            if come > BODY_BYTES:
+                self._line.too_long()
+                raise MalformedError("the body is too long")
+            if chunk:
+                yield self._framed(chunk)
+        if self._chunked:
+            yield LAST_CHUNK
+        self._line.body_taken()
+
+    def _framed(self, data: bytes) -> bytes:
+        return _chunk(data) if self._chunked else data
+
+
 class PlatformServer(FrontServer):
     """aiohttp's low-level server for the platform's front."""
 
@@ -199,8 +362,9 @@
 class Front:
     """Handles requests of the platform's protocol."""
 
-    def __init__(self, runtime: Runtime, client: NodeClient, names: Names) -> None:
+    def __init__(self, runtime: Runtime, client: NodeClient, names: Names, bodies: BodyBudget) -> None:
         self.counts: Counter[str] = Counter()
+        self.bodies = bodies
         self.ready, self.names = True, names
         self.last = False  # each answer is the last on its connection
         self.stopped = False  # nothing is sent on any more
@@ -214,8 +378,8 @@
             self._second, self._date = second, formatdate(second, usegmt=True)
         return self._date
 
-    def take(self, line: PlatformConnection, message: RawRequestMessage, body: bytes) -> None:
-        """A whole request: answer it, or give it to the core."""
+    def take(self, line: PlatformConnection, message: RawRequestMessage, body: bytes | ComingBody) -> None:
+        """A request, whole or as far as it is kept: answer it, or give it to the core."""
         path = message.path.partition("?")[0]
         if path == READY:
             if self.ready:
@@ -235,13 +399,14 @@
                 raise MalformedError("a GET has no body")
             arrival = read_arrival(
                 message.method, message.path, line.fields, runtime.clock.now_us(), self.names,
-                runtime.core.settings,
+                runtime.core.settings, isinstance(body, ComingBody),
             )  # fmt: skip
         except MalformedError as reason:
             line.refuse(400, str(reason))
             return
         line.request = arrival.request
-        if not runtime.submit(arrival, PlatformJob(self._client, line, message, body)):
+        job = PlatformJob(self._client, line, message, body)
+        if not runtime.submit(arrival, job, streams=isinstance(body, ComingBody)):
             line.refuse(400, "X-Call-Id is in use")
 
     def left(self, line: PlatformConnection) -> None:
