Rigs for upgrades and drains; share limits by what each process keeps

A platform of our own plays upgrades (13 cases: processes that die, stand still, are told to end early, two at once, drains, cold and dark lists) and drains on a real broker under load; judges read logs only, each finds planted faults.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo parity parity-sockets wheel bench-library probe-second-copy measure-limits play-processes consensus-check maintenance bench-maintenance
+.PHONY: build test lint run demo parity parity-sockets wheel bench-library probe-second-copy measure-limits play-processes consensus-check maintenance bench-maintenance upgrade drain
 
 build: .venv/.dev
 
@@ -48,6 +48,14 @@
 play-processes: build
 	for seed in 1 2 3 4; do $(PYTHON) -m harriertide lab processes --seed $$seed || exit 1; done
 
+# upgrades in place of a real broker under load, with drawn faults: docs/measurements/operations.md
+upgrade: build
+	$(PYTHON) -m harriertide lab upgrades --runs $(RUNS) --seed $(SEED)
+
+# drains of a real broker under load
+drain: build
+	$(PYTHON) -m harriertide lab drains --runs $(RUNS) --seed $(SEED)
+
 # one workload of each kind through daemon and library in virtual time; prints matched N differed 0
 parity: build
 	$(PYTHON) -m harriertide lab parity
--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -22,7 +22,7 @@
 from harriertide.engine.runtime import Runtime
 from harriertide.http.clients import ConnectionTable, FrontServer
 from harriertide.http.limits import read_limits
-from harriertide.http.listening import InheritError, inherit, listen
+from harriertide.http.listening import InheritError, inherit, listen, stop_listening
 from harriertide.http.nodes import NodeClient
 from harriertide.http.relay import BodyBudget
 from harriertide.lifecycle.machine import Lifecycle
@@ -177,8 +177,9 @@
     def apply_limits(self) -> None:
         """Have both sides' connections go by the limits; two processes of one broker share them."""
         assert self.config is not None
-        shares = self.replacement is not None and not self.replacement.alone
-        limits = self.config.limits.half() if shares else self.config.limits
+        limits = self.config.limits
+        if self.replacement is not None:
+            limits = self.replacement.share(limits)
         self.client.pool.limit(limits)
         self.clients.limit(limits)
         self.bodies.most = limits.bodies
@@ -237,7 +238,7 @@
     def close_door(self) -> None:
         """Hear neither of them any more: another process of this broker does."""
         if self._door_server is not None:
-            self._door_server.close()
+            stop_listening(self._door_server)
             self.servers.remove(self._door_server)
             self._door_server = None
         if self.peers is not None:
@@ -249,11 +250,11 @@
 
         self.replacement = Replacement(self, config)
         self.apply_limits()
-        await self.list_heard.wait()
         if self.peers is not None:
             self.peers.hold()
         await self.hear_peers()  # before the process in charge lets go of it
-        await self.replacement.take_over()
+        if await self.replacement.take_over():
+            self.list_heard.set()  # the list of the process before is as new as an agent's
         if self.peers is not None:
             self.peers.let_through()
 
@@ -330,7 +331,7 @@
         log("stopping")
         await until(loop.time() + ACCEPT_S)
         for listener in self.servers:
-            listener.close()
+            stop_listening(listener)
         while self._busy() and loop.time() < finish_by - LAST_S:
             await until(loop.time() + 0.02)
         self.life.last_answers = True
--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -6,10 +6,12 @@
   bench-library  what a request costs direct, through the library and through the daemon
   bench-maintenance  what rolling work and agreement cost
   consensus-check  a search through the states of three members of the agreed log, and drawn courses of five
+  drains         drains of a real broker under load
   limits         how much of a plan's limit heads use that lose messages and die
   maintenance    orders of work on real brokers and boxes, with drawn faults between them
   parity         one workload through daemon and library; every decision compared
   processes      real brokers with faults between them, judged at the box by a plan's limit
+  upgrades       upgrades in place of a real broker under load, with drawn faults
   second-copy    look for second copies on real sockets; see docs/measurements/second-copy.md
 """
 
@@ -24,11 +26,13 @@
     "bench-library": "bench_library",
     "bench-maintenance": "bench_upkeep",
     "consensus-check": "check",
+    "drains": "drains",
     "limits": "limits",
     "maintenance": "upkeep",
     "parity": "parity",
     "processes": "processes",
     "second-copy": "second_copy",
+    "upgrades": "upgrades",
 }
 
 
--- a/harriertide/cli/replacement.py
+++ b/harriertide/cli/replacement.py
@@ -13,6 +13,8 @@
 from harriertide.decide import handover
 from harriertide.decide.rules import Scheduler
 from harriertide.engine.log import log
+from harriertide.http.limits import Limits
+from harriertide.http.listening import ACCEPTS
 from harriertide.lifecycle.record import Handover, RecordError, decode, encode
 from harriertide.lifecycle.succession import Succession
 from harriertide.lifecycle.upgrade import Hooks, Upgrade
@@ -21,6 +23,7 @@
 if TYPE_CHECKING:
     from harriertide.cli.daemon import Daemon
 
+NODES_KEPT = 8  # part of the connections to nodes that a superseded process may have at least
 CLOCK_US = 1_000_000  # by which the clocks of two processes may differ for the one's times to be of use
 
 
@@ -40,20 +43,29 @@
         except OSError as fault:
             raise BadConfigError(f"TMPDIR: {fault.strerror}: {fault.filename}") from None
         self.alone = not succession.others()
+        self._part: Limits | None = None  # None: nothing is known of the other process
         self.upgrade = Upgrade(succession, hooks)
         daemon.runtime.fence = self.upgrade.check
 
-    async def take_over(self) -> None:
-        """Go on in the place of the process in charge; from nothing where it left no record of use."""
+    def share(self, limits: Limits) -> Limits:
+        """What this process may have of the broker's limits."""
+        if self.alone:
+            return limits
+        return self._part or limits.half()
+
+    async def take_over(self) -> bool:
+        """Go on in the place of the process in charge; False: from nothing, as it left no record of use."""
         data = await self.upgrade.take_over()
         if data is None:
             log("in charge", epoch=self.upgrade.epoch, state="none")
-            return
+            return False
         try:
             record = decode(data, self._name, self.upgrade.epoch, asyncio.get_running_loop().time())
             self._import(record)
         except RecordError as fault:
             log("the record of the process before is set aside", reason=str(fault))
+            return False
+        return True
 
     def _import(self, record: Handover) -> None:
         daemon = self._daemon
@@ -62,6 +74,8 @@
             raise RecordError("the system's clock was set meanwhile")
         daemon.life.drained = daemon.life.drained or record.drained
         daemon.apply_life()
+        self._part = self._rest_of(record.clients, record.nodes)
+        daemon.apply_limits()
         daemon.runtime.post(ev.Listed(daemon.directory.import_state(record.directory)))
         daemon.runtime.flush()
         clock.adopt(record.monotonic_s, record.unix_us)
@@ -86,6 +100,8 @@
                 monotonic_s=now_s,
                 unix_us=clock.unix_us(now_s),
                 drained=daemon.life.drained,
+                clients=self._clients_kept(),
+                nodes=self._nodes_kept(),
                 directory=daemon.directory.export_state(),
                 decisions=handover.export_state(scheduler),
             )
@@ -93,6 +109,27 @@
         self._supersede()
         return data
 
+    def _limits(self) -> Limits:
+        assert self._daemon.config is not None
+        return self._daemon.config.limits
+
+    def _clients_kept(self) -> int:
+        """Connections of clients, with those that were accepted in this turn of the loop."""
+        return len(self._daemon.clients) + ACCEPTS
+
+    def _nodes_kept(self) -> int:
+        """Connections to nodes that a process finishes its requests with when another takes over."""
+        return max(len(self._daemon.client.pool), self._limits().boxes // NODES_KEPT)
+
+    def _rest_of(self, clients: int, nodes: int) -> Limits:
+        """What is left beside a process that keeps so many connections: a quarter at least."""
+        limits = self._limits()
+        left = (
+            max(limits.clients // 4, limits.clients - clients),
+            max(limits.boxes // 4, limits.boxes - nodes),
+        )
+        return limits.part(*left)
+
     def _supersede(self) -> None:
         """A newer process is in charge. What was taken is finished here."""
         daemon = self._daemon
@@ -100,18 +137,21 @@
         daemon.life.supersede()
         daemon.apply_life()
         self.alone = False
+        self._part = self._limits().part(self._clients_kept(), self._nodes_kept())
         daemon.apply_limits()
         daemon.runtime.at_once(ev.Resettled(daemon.settings_in_force()))
         log("superseded by a newer process", open=daemon.core.owed(), connections=len(daemon.clients))
 
     def _take_back(self) -> None:
         daemon = self._daemon
+        self._part = None
         daemon.life.take_back()
         daemon.apply_life()
+        daemon.apply_limits()
         daemon.runtime.at_once(ev.Resettled(daemon.settings_in_force()))
         self._opening = asyncio.get_running_loop().create_task(daemon.open_door())
 
     def _share(self, alone: bool) -> None:
         if alone != self.alone:
-            self.alone = alone
+            self.alone, self._part = alone, None
             self._daemon.apply_limits()
--- a/harriertide/http/limits.py
+++ b/harriertide/http/limits.py
@@ -24,9 +24,13 @@
     held: int
     bodies: int  # bytes of requests that are kept to be sent, again if need be
 
+    def part(self, clients: int, boxes: int) -> Limits:
+        """For one of two processes that count as one broker: so many connections, and half of the memory."""
+        return Limits(clients, boxes, self.answer, self.held // 2, self.bodies // 2)
+
     def half(self) -> Limits:
-        """For one of two processes that count as one broker."""
-        return Limits(self.clients // 2, self.boxes // 2, self.answer, self.held // 2, self.bodies // 2)
+        """For a process beside another of which nothing is known."""
+        return self.part(self.clients // 2, self.boxes // 2)
 
     @classmethod
     def share(cls, sockets: int, memory_mb: int, reserved: int = 0) -> Limits:
--- a/harriertide/http/listening.py
+++ b/harriertide/http/listening.py
@@ -57,6 +57,21 @@
     return door
 
 
+def stop_listening(server: asyncio.Server) -> None:
+    """Accept nothing more, from this moment on; what was accepted before is served.
+
+    Guards against a close in the turn of the loop in which a connection was accepted: the loop hands it to
+    its server one turn later, and drops it where that is closed by then.
+    """
+    if not isinstance(server, asyncio.Server):  # on a network of the laboratory
+        server.close()
+        return
+    loop = asyncio.get_running_loop()
+    for door in server.sockets:
+        loop.remove_reader(door.fileno())
+    loop.call_soon(loop.call_soon, server.close)
+
+
 async def listen(
     at: tuple[str, int] | socket.socket, protocol: Callable[[], asyncio.BaseProtocol]
 ) -> asyncio.Server:
--- /dev/null
+++ b/harriertide/lab/upgrades.py
@@ -0,0 +1,270 @@
+"""Upgrades in place of one real broker under load, one after the other, each a case drawn from the seed.
+
+Usage: upgrades [--runs N] [--seed N] [--cases NAMES] [--folder DIR]
+
+The platform holds the clients' socket; the broker is started anew beside the process that serves, by the same
+program. Exits with 1 where a request was lost, a rule was broken or a step did not end as it should.
+
+Options:
+  --runs N       upgrades [default: 50]
+  --seed N       of cases and load [default: 1]
+  --cases NAMES  these only, separated by commas
+  --folder DIR   where configurations and logs are kept; else a folder that is deleted
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from docopt import docopt
+
+from harriertide.decide.settings import PlainError
+from harriertide.engine.clock import until
+from harriertide.lab.upgrade_judge import Found, judge
+from harriertide.lab.upgrade_world import COLD_S, Process, World, call
+
+SETTLE_S = 0.3  # of load between upgrades
+BUSY_RATE, FEW_RATE = 400.0, 30.0
+
+
+class Course:
+    """One broker, upgraded again and again."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.random = world, world.random
+        self.serving: Process
+
+    def failed(self, what: str) -> None:
+        """A step did not end as it should."""
+        self.world.logs.write("platform", "failed", what=what)
+
+    async def pause(self, seconds: float) -> None:
+        """Load goes on meanwhile."""
+        await until(asyncio.get_running_loop().time() + seconds)
+
+    async def begin(self) -> None:
+        """The first process."""
+        self.serving = await self.world.launch()
+        if await self.world.ready(self.serving) < 0:
+            raise PlainError(f"the broker did not get ready; see {self.world.folder}")
+
+    async def replace(self) -> None:
+        """The ordinary upgrade: start, yes, SIGTERM to the old one, its end."""
+        new = await self.world.launch()
+        took_s = await self.world.ready(new)
+        if took_s < 0:
+            self.failed("the new process did not get ready")
+            return
+        self.world.logs.write("platform", "ready", took_s=took_s)
+        old, self.serving = self.serving, new
+        old.signal(signal.SIGTERM)
+        if not await self.world.ended(old) or old.handle.returncode != 0:
+            self.failed(f"the old process ended with {old.handle.returncode}")
+
+    def kill(self, process: Process) -> None:
+        """SIGKILL; what that process had taken is lost."""
+        self.world.logs.write("platform", "killed")
+        process.kill()
+
+    # --- cases ---------------------------------------------------------------------------------
+
+    async def plain(self) -> None:
+        """Nothing else happens."""
+        await self.replace()
+
+    async def new_dies_before_ready(self) -> None:
+        """The old one goes on and never noticed, or takes back."""
+        new = await self.world.launch()
+        await self.pause(self.random.uniform(0.0, 0.6))
+        self.kill(new)
+        await new.handle.wait()
+        await self.pause(SETTLE_S)
+        if not self.serving.lives:
+            self.failed("the old process ended with the new one")
+
+    async def new_dies_right_after(self) -> None:
+        """The old one has heard nothing yet, and takes back."""
+        new = await self.world.launch()
+        if await self.world.ready(new) < 0:
+            self.failed("the new process did not get ready")
+        self.kill(new)
+        await new.handle.wait()
+        await self.pause(SETTLE_S)
+
+    async def bad_configuration(self) -> None:
+        """Exit 2, and the old one serves on."""
+        new = await self.world.launch(lambda config: config.update(settings={}))
+        if not await self.world.ended(new) or new.handle.returncode != 2:
+            self.failed(f"a bad configuration ended with {new.handle.returncode}")
+
+    async def old_dies_meanwhile(self) -> None:
+        """Killed at any moment of the hand-over: the new one starts with what there is."""
+        new = await self.world.launch()
+        await self.pause(self.random.uniform(0.2, 0.5))
+        self.kill(self.serving)
+        if await self.world.ready(new) < 0:
+            self.failed("the new process did not get ready without the old one")
+        self.serving = new
+
+    async def told_to_end_early(self) -> None:
+        """SIGTERM reaches the old one before the new one is ready."""
+        new = await self.world.launch()
+        await self.pause(self.random.uniform(0.0, 0.3))
+        self.serving.signal(signal.SIGTERM)
+        if await self.world.ready(new) < 0:
+            self.failed("the new process did not get ready beside one that ends")
+        await self.world.ended(self.serving)
+        self.serving = new
+
+    async def two_at_once(self) -> None:
+        """Both say yes; the last one that took over is to serve on."""
+        both = [await self.world.launch() for _ in range(2)]
+        if min(await asyncio.gather(*map(self.world.ready, both))) < 0:
+            self.failed("one of two new processes did not get ready")
+            return
+        self.serving.signal(signal.SIGTERM)
+        await self.world.ended(self.serving)
+        said = [(await call(each.operator, "GET /api/ready")).state for each in both]
+        last = 0 if "superseded" in said[1] else 1
+        both[1 - last].signal(signal.SIGTERM)
+        await self.world.ended(both[1 - last])
+        self.serving = both[last]
+
+    async def paused(self) -> None:
+        """The old one stands still, is taken over from, and comes back. Few come meanwhile: all wait."""
+        rate, self.world.clients.rate = self.world.clients.rate, FEW_RATE
+        self.serving.signal(signal.SIGSTOP)
+        old, new = self.serving, await self.world.launch()
+        if await self.world.ready(new) < 0:
+            self.failed("the new process did not get ready beside one that stands still")
+        old.signal(signal.SIGCONT)
+        await self.pause(SETTLE_S)
+        self.serving = new
+        old.signal(signal.SIGTERM)
+        await self.world.ended(old)
+        self.world.clients.rate = rate
+
+    async def busy(self) -> None:
+        """Three times the load."""
+        rate, self.world.clients.rate = self.world.clients.rate, BUSY_RATE
+        await self.pause(SETTLE_S)
+        await self.replace()
+        self.world.clients.rate = rate
+
+    async def in_a_drain(self) -> None:
+        """The new one is drained too, until it is told otherwise."""
+        await call(self.serving.operator, "POST /api/evacuate")
+        await self.replace()
+        if (await call(self.serving.operator, "POST /api/rejoin")).status != 200:
+            self.failed("the new process did not rejoin")
+
+    async def discovery_dark(self) -> None:
+        """The new one goes by the list that the old one had."""
+        self.world.discovery.go_dark(True)
+        await self.replace()
+        self.world.discovery.go_dark(False)
+        await self.pause(SETTLE_S)
+
+    async def cold_node(self) -> None:
+        """A node has just started anew: both together may send what it bears."""
+        node = self.random.choice(self.world.nodes)
+        node.started_us = self.world.unix_us()
+        self.world.logs.write("platform", "restarted", node=node.name)
+        self.world.discovery.change()
+        await self.replace()
+        await self.pause(COLD_S)
+
+    async def draining_node(self) -> None:
+        """A drain told to the old one holds for the new one."""
+        node = self.random.choice(self.world.nodes)
+        node.health = "draining"
+        self.world.discovery.change()
+        await self.pause(0.05)
+        self.world.discovery.go_dark(True)  # so that the new one can have it from the old one only
+        await self.replace()
+        node.health = "up"
+        self.world.discovery.go_dark(False)
+        self.world.discovery.change()
+        await self.pause(SETTLE_S)
+
+
+CASES: dict[str, Callable[[Course], Awaitable[None]]] = {
+    "plain": Course.plain,
+    "new-dies": Course.new_dies_before_ready,
+    "new-dies-after": Course.new_dies_right_after,
+    "bad-configuration": Course.bad_configuration,
+    "old-dies": Course.old_dies_meanwhile,
+    "told-early": Course.told_to_end_early,
+    "two-at-once": Course.two_at_once,
+    "paused": Course.paused,
+    "busy": Course.busy,
+    "in-a-drain": Course.in_a_drain,
+    "discovery-dark": Course.discovery_dark,
+    "cold-node": Course.cold_node,
+    "draining-node": Course.draining_node,
+}
+
+
+async def play(folder: Path, seed: int, cases: list[str]) -> None:
+    """Upgrade once for each case; what happened is in the folder's logs."""
+    world = World(folder, Random(seed))
+    await world.start()
+    stop = asyncio.Event()
+    try:
+        course = Course(world)
+        await course.begin()
+        load = asyncio.create_task(world.clients.offer(stop))
+        await course.pause(SETTLE_S)
+        for case in cases:
+            world.logs.write("platform", "case", case=case)
+            await CASES[case](course)
+            if not course.serving.lives:
+                course.failed(f"nothing serves after {case}")
+                break
+            await course.pause(SETTLE_S)
+        stop.set()
+        await load
+    finally:
+        await world.close()
+
+
+def report(found: Found, upgrades: int) -> str:
+    """One line."""
+    return (
+        f"upgrades {upgrades} requests {found.requests} lost {found.lost} twice {found.twice} "
+        f"not-let-in {found.not_let_in} over-limit {found.over_limit} cold-falls {found.cold_falls} "
+        f"after-drain {found.after_drain} failed {len(found.failed)} ready-p99 {found.ready_p99:.2f}"
+    )
+
+
+def draw(seed: int, runs: int, names: list[str]) -> list[str]:
+    """Cases in a drawn order, each as often as any other, or once more."""
+    random = Random(seed)
+    cases = [names[place % len(names)] for place in range(runs)]
+    random.shuffle(cases)
+    return cases
+
+
+def main(arguments: list[str]) -> int:
+    """Play and judge."""
+    given: dict[str, Any] = docopt(__doc__ or "", arguments)
+    names = given["--cases"].split(",") if given["--cases"] else list(CASES)
+    if unknown := set(names) - set(CASES):
+        raise PlainError(f"--cases: {', '.join(sorted(unknown))}: there is {', '.join(CASES)}")
+    with ExitStack() as stack:
+        folder = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
+        folder.mkdir(parents=True, exist_ok=True)
+        cases = draw(int(given["--seed"]), int(given["--runs"]), names)
+        asyncio.run(play(folder, int(given["--seed"]), cases))
+        found = judge(folder)
+    for what in found.failed[:10]:
+        print(f"failed: {what}")
+    print(report(found, len(cases)))
+    return int(found.broken)
--- a/harriertide/lifecycle/record.py
+++ b/harriertide/lifecycle/record.py
@@ -32,6 +32,8 @@
     monotonic_s: float
     unix_us: int
     drained: bool
+    clients: int  # connections that stay with the process that hands over, and no others come
+    nodes: int
     directory: DirectoryState
     decisions: DecisionState
 
--- a/harriertide/lifecycle/succession.py
+++ b/harriertide/lifecycle/succession.py
@@ -148,8 +148,9 @@
         for path in (self._folder / "claim", self._state(self.epoch)):
             with suppress(OSError):
                 path.unlink()
+        newest = max(self._epochs())  # its file stays: no epoch is taken twice
         for epoch in self._epochs():
-            if epoch != self.epoch and not self.lives(epoch):
+            if epoch not in (self.epoch, newest) and not self.lives(epoch):
                 for path in (self._process(epoch), self._state(epoch)):
                     with suppress(OSError):
                         path.unlink()
--- a/harriertide/platform/peers.py
+++ b/harriertide/platform/peers.py
@@ -11,6 +11,7 @@
 
 from harriertide.core import events as ev
 
+NOBODY = 9  # the port of the discard service: it says nothing
 HELD_MOST = 1024  # messages that are kept while another process of this broker is in charge
 DATAGRAM_BYTES = 256  # a longer one is not allowed on the wire
 
@@ -70,8 +71,14 @@
             self._post(message)
 
     def release(self) -> None:
-        """Let go of the address, once all that has come to it is read."""
+        """Let go of the address, once all that has come to it is read.
+
+        Connected to a port from which nothing comes, the socket gets no more: the system gives what comes
+        from then on to the other process, and no message falls between the last read and the close.
+        """
         if self._socket is not None:
+            with suppress(OSError):
+                self._socket.connect((self._socket.getsockname()[0], NOBODY))
             with suppress(OSError):  # nothing more is there
                 while True:
                     self.datagram_received(*self._socket.recvfrom(65536))
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,127 @@
+"""The rigs of upgrades and drains: short courses with fixed seeds, and judges that find planted faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from harriertide.decide.settings import PlainError
+from harriertide.lab import drains, upgrades
+from harriertide.lab.upgrade_judge import IDLE_S, Found, judge
+from harriertide.lab.upgrade_world import BURST, COLD_UNITS
+
+COURSES = {
+    "replaced, in a drain, from a bad configuration": ["plain", "in-a-drain", "bad-configuration"],
+    "processes that die": ["new-dies", "new-dies-after", "old-dies"],
+    "a drain told with discovery dark, and two at once": ["draining-node", "two-at-once"],
+    "told to end early, and one that stands still": ["told-early", "paused"],
+}
+
+
+@pytest.mark.parametrize("cases", COURSES.values(), ids=COURSES.keys())
+def test_a_broker_is_upgraded_under_load(cases: list[str], tmp_path: Path) -> None:
+    asyncio.run(upgrades.play(tmp_path, 7, cases))
+    found = judge(tmp_path)
+    assert not found.broken, (upgrades.report(found, len(cases)), found.failed)
+    assert found.requests > 100
+
+
+def test_a_broker_is_drained_under_load_and_comes_back(tmp_path: Path) -> None:
+    asyncio.run(drains.play(tmp_path, 7, 1))
+    found = judge(tmp_path)
+    assert not found.broken, (drains.report(found, 1), found.failed)
+    assert found.requests > 100
+
+
+def test_cases_are_drawn_alike_from_one_seed_and_each_is_played() -> None:
+    names = list(upgrades.CASES)
+    assert upgrades.draw(3, 50, names) == upgrades.draw(3, 50, names)
+    assert set(upgrades.draw(3, 50, names)) == set(names)
+
+
+def test_a_case_that_is_none_is_named() -> None:
+    with pytest.raises(PlainError, match="nonsense"):
+        upgrades.main(["upgrades", "--cases", "plain,nonsense"][1:])
+
+
+# --- the judges ----------------------------------------------------------------------------------
+
+Row = dict[str, Any]
+
+
+def row(at_s: float, event: str, **more: Any) -> Row:
+    return {"at_s": at_s, "event": event, **more}
+
+
+def came(at_s: float, request: str, units: float = 1, plan: str = "free", node: str = "s0") -> Row:
+    return row(at_s, "came", request=request, node=node, units=units, plan=plan, health="up")
+
+
+def answered(at_s: float, request: str) -> Row:
+    return row(at_s, "answered", request=request, node="s0")
+
+
+def found_in(folder: Path, **logs: list[Row]) -> Found:
+    for name in ("clients", "nodes", "platform"):
+        text = "".join(json.dumps(each) + "\n" for each in logs.get(name, []))
+        (folder / f"{name}.log").write_text(text, encoding="utf-8")
+    return judge(folder)
+
+
+ASKED = row(1.0, "asked", request="a")
+TOLD = row(1.2, "told", request="a", status=200)
+ENDED = row(1.2, "ended", request="a", begun=False)
+HEAVY = [came(1 + n / 1000, f"r{n}", 6, "capped") for n in range(int(BURST / 6) + 4)]
+FLOOD = [came(1.1 + n / 1000, f"r{n}", 6) for n in range(int(COLD_UNITS))]
+PLANTED: dict[str, tuple[str, dict[str, list[Row]]]] = {
+    "no answer": ("lost", {"clients": [ASKED]}),
+    "an ended connection": ("lost", {"clients": [ASKED, ENDED]}),
+    "one killed long before": ("lost", {"clients": [ASKED, ENDED], "platform": [row(0.5, "killed")]}),
+    "a second copy": ("twice", {"nodes": [came(1, "a"), came(1.1, "a")]}),
+    "a fifth attempt": (
+        "twice", {"nodes": [each for n in range(5) for each in (came(n, "a"), answered(n + 0.1, "a"))]},
+    ),
+    "a limit passed": ("over_limit", {"nodes": HEAVY}),
+    "a cold node flooded": ("cold_falls", {"nodes": FLOOD, "platform": [row(1.0, "restarted", node="s0")]}),
+    "a drained node": (
+        "after_drain",
+        {"nodes": [came(2, "a")], "platform": [row(1.0, "listed", node="s0", health="draining")]},
+    ),
+    "a connection that rests": ("late_idle", {"platform": [row(IDLE_S, "open", idle=1, late=0)]}),
+    "a late request": ("late_idle", {"platform": [row(IDLE_S, "open", idle=0, late=1)]}),
+    "a late rejoin": ("rejoin_late", {"platform": [row(9.0, "rejoined", took_s=2.1)]}),
+    "a late call": ("door_late", {"platform": [row(1.0, "called", status=200, took_s=1.1)]}),
+    "an unanswered call": ("door_late", {"platform": [row(1.0, "called", status=0, took_s=0.1)]}),
+    "a step": ("failed", {"platform": [row(1.0, "failed", what="it ended with 1")]}),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name, logs", PLANTED.values(), ids=PLANTED.keys())
+def test_a_judge_finds_a_planted_fault(name: str, logs: dict[str, list[Row]], tmp_path: Path) -> None:
+    found = found_in(tmp_path, **logs)
+    assert getattr(found, name) and found.broken
+
+
+def test_judges_find_nothing_in_what_is_right(tmp_path: Path) -> None:
+    found = found_in(
+        tmp_path,
+        clients=[ASKED, row(1.1, "crossed", request="a"), TOLD],
+        nodes=[came(1, "a"), answered(1.1, "a"), came(1.2, "a"), answered(1.3, "a"), *HEAVY[:8]],
+        platform=[
+            row(1.0, "listed", node="s0", health="draining"),
+            row(1.1, "listed", node="s0", health="up"),
+            row(2.0, "ready", took_s=0.4),
+            row(2.0, "called", status=200, took_s=0.01),
+            row(2.0, "open", idle=0, late=0),
+            row(2.0, "rejoined", took_s=0.1),
+        ],
+    )
+    assert not found.broken and found.not_let_in == 1 and found.ready_p99 == 0.4
+
+
+def test_what_a_killed_process_had_taken_is_not_lost_by_the_broker(tmp_path: Path) -> None:
+    assert not found_in(tmp_path, clients=[ASKED, ENDED], platform=[row(1.19, "killed")]).broken
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,6 +17,8 @@
 from harriertide.decide.leases import Slot
 from harriertide.decide.settings import from_wire, names_from_wire
 from harriertide.decide.state import Store, Tally, Volume
+from harriertide.http.limits import Limits
+from harriertide.http.listening import ACCEPTS
 from harriertide.lifecycle import record, upgrade
 from harriertide.lifecycle.record import Handover, RecordError
 from harriertide.lifecycle.succession import LEASE_S, Succession
@@ -193,7 +195,7 @@
 
 # --- the record ----------------------------------------------------------------------------------
 
-EMPTY = Handover("n", 2, 100.0, 1, True, DirectoryState(3, [], {}, []), handover.DecisionState())
+EMPTY = Handover("n", 2, 100.0, 1, True, 0, 0, DirectoryState(3, [], {}, []), handover.DecisionState())
 
 
 def test_a_record_comes_back_as_it_went() -> None:
@@ -491,21 +493,35 @@
 def test_two_processes_share_the_limits_until_one_is_left(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """The old one takes no clients any more: what it has, and all that it may still open, counts."""
     monkeypatch.setattr(upgrade, "ALONE_S", 0.05)
 
     async def course(platform: Platform) -> None:
         old = await platform.process()
-        whole = old.clients.most
+        clients, nodes = old.clients.most, old.client.pool.most
+        kept = [await platform.client() for _ in range(5)]
+        for each in kept:
+            await platform.served(*each)
         new = await platform.process()
-        assert old.clients.most + new.clients.most <= whole
+        assert len(old.clients) == 5 and new.clients.most == clients - 5 - ACCEPTS
+        assert old.client.pool.most >= len(old.client.pool)
+        assert old.client.pool.most + new.client.pool.most <= nodes
+        assert old.bodies.most == new.bodies.most == new.config.limits.bodies // 2
         await old.stop()
         async with asyncio.timeout(PATIENCE_S):
-            while new.clients.most < whole:
+            while (new.clients.most, new.client.pool.most) != (clients, nodes):
                 await asyncio.sleep(0.01)
 
     on_platform(course, tmp_path, monkeypatch)
 
 
+def test_a_process_that_knows_nothing_of_the_other_goes_by_half(tmp_path: Path) -> None:
+    limits = Limits.share(384, 80)
+    half = limits.half()
+    assert 2 * half.clients <= limits.clients and 2 * half.boxes <= limits.boxes
+    assert 2 * half.held <= limits.held and 2 * half.bodies <= limits.bodies
+
+
 def test_no_message_of_a_peer_is_lost_where_the_address_changes_hands(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
