Keep one process in charge where a state can't be written down or gone on from

Seen by reading: a fault while the state is written down ended the old process's looks, with its door closed and its budgets still in force, while the new one waited 2 s and took over; a fault while a record is gone on from ended the new one's start (lifecycle hooks in cli/replacement.py). Each is logged with its trace, and the new process starts from nothing.

--- a/harriertide/cli/replacement.py
+++ b/harriertide/cli/replacement.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import tempfile
+import traceback
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -65,6 +66,9 @@
         except RecordError as fault:
             log("the record of the process before is set aside", reason=str(fault))
             return False
+        except Exception:  # guards against a start that ends on what another release has left
+            log("the record of the process before could not be used", trace=traceback.format_exc())
+            return False
         return True
 
     def _import(self, record: Handover) -> None:
@@ -90,10 +94,21 @@
         daemon = self._daemon
         daemon.close_door()
         daemon.runtime.flush()  # what has come until now counts
+        try:
+            data = self._record(claimed)
+        except Exception:  # guards against two in charge: without a record the new one starts from nothing
+            log("the state could not be written down", trace=traceback.format_exc())
+            data = b""
+        self._supersede()
+        return data
+
+    def _record(self, claimed: int) -> bytes:
+        """The state as it is now, for the process that claims."""
+        daemon = self._daemon
         clock, scheduler = daemon.runtime.clock, daemon.core.scheduler
         assert isinstance(scheduler, Scheduler)
         now_s = asyncio.get_running_loop().time()
-        data = encode(
+        return encode(
             Handover(
                 broker=self._name,
                 epoch=claimed,
@@ -106,8 +121,6 @@
                 decisions=handover.export_state(scheduler),
             )
         )
-        self._supersede()
-        return data
 
     def _limits(self) -> Limits:
         assert self._daemon.config is not None
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -447,6 +447,41 @@
     on_platform(course, tmp_path, monkeypatch)
 
 
+def test_a_state_that_cannot_be_written_down_leaves_one_in_charge(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(scheduler: object) -> None:
+        raise ValueError("a fault of the broker itself")
+
+    async def course(platform: Platform) -> None:
+        old = await platform.process()
+        monkeypatch.setattr(handover, "export_state", fail)
+        new = await platform.process()
+        assert old.life.superseded and old._door_server is None and new.life.can_serve
+        await platform.served(*await platform.client())
+        assert new.core.counts["taken"] == 1
+
+    on_platform(course, tmp_path, monkeypatch)
+
+
+def test_a_record_that_cannot_be_gone_on_from_ends_no_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(scheduler: object, state: object) -> None:
+        raise KeyError("another release's")
+
+    async def course(platform: Platform) -> None:
+        await platform.process()
+        monkeypatch.setattr(handover, "import_state", fail)
+        new = await platform.process()
+        async with asyncio.timeout(PATIENCE_S):
+            while not new.life.can_serve:
+                await asyncio.sleep(0.01)
+        await platform.served(*await platform.client())
+
+    on_platform(course, tmp_path, monkeypatch)
+
+
 def test_a_drain_and_what_was_learned_cross_an_upgrade(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
