--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -256,11 +256,11 @@
     drain(play, monkeypatch)
 
 
-def test_clients_that_never_stop_sending_are_all_sent_away(
+def test_three_hundred_clients_that_never_stop_sending_are_all_sent_away(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def play(house: House, port: int) -> None:
-        crowd = [await house.resting("/health/ready", "idle") for _ in range(100)]
+        crowd = [await house.resting("/health/ready", "idle") for _ in range(300)]
 
         async def keep_sending(client: socket.socket) -> None:
             loop = asyncio.get_running_loop()
@@ -317,6 +317,22 @@
     drain(play, monkeypatch)
 
 
+def test_a_drain_and_its_end_need_no_discovery(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The stand-in of discovery answers no call in any of these tests; here its watch has failed too."""
+
+    async def play(house: House, port: int) -> None:
+        assert house.daemon.watch is not None
+        await house.daemon.watch.close()
+        assert (await call(port, EVACUATE))[0] == 200 and not await healthy(house)
+        client = house.client()
+        client.sendall(house.request())
+        reply(await house.asked())
+        assert b"200 OK" in await house.read(client)
+        assert (await call(port, REJOIN))[0] == 200 and await healthy(house)
+
+    drain(play, monkeypatch)
+
+
 def test_an_address_that_is_taken_is_named_with_its_key() -> None:
     with socket.create_server(("127.0.0.1", 0)) as other, pytest.raises(BadConfigError, match="operator: "):
         inside(lambda house: house.settle(), operator=other.getsockname())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -415,6 +415,26 @@
     on_platform(course, tmp_path, monkeypatch)
 
 
+def test_a_long_answer_on_its_way_is_finished_by_the_old_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def course(platform: Platform) -> None:
+        old = await platform.process()
+        reader, writer = await platform.client()
+        writer.write(platform.request())
+        line = (await platform.box.asked.get())[3]
+        size = 32 << 20
+        line.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * 200_000)
+        await reader.readuntil(b"\r\n\r\n")
+        await platform.process()
+        assert old.life.superseded
+        line.writer.write(b"x" * (size - 200_000))
+        async with asyncio.timeout(PATIENCE_S):
+            assert len(await reader.readexactly(size)) == size
+
+    on_platform(course, tmp_path, monkeypatch)
+
+
 def test_connections_that_come_while_one_takes_over_wait_and_are_served(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
