Give a rig client's repeat its own id; no attempt for requests that are closed on

Cause: the rig's own client. Where a kept connection ends before an answer has begun, Clients._one asked again under the same X-Call-Id. After a SIGKILL the node may still be at work on what the dead process had sent on, and the judge counted the client's repeat as the broker's second copy.

Change: a repeat is a request of its own (request_id). The judge is stricter: a request whose connection was closed in its face counts as lost where it was sent on (it was counted as not let in only), unless its process was killed; then, too, if something sends it on later than 0.1 s after the close.

--- a/harriertide/lab/upgrade_judge.py
+++ b/harriertide/lab/upgrade_judge.py
@@ -13,6 +13,8 @@
 
 SLACK = 6.0  # units that a limit may be passed by: one of the largest requests
 LATE_S = 0.15  # what the limit allows in so long is slack too, on sockets
+LEFT_S = 0.1  # after its client's connection ended, in which a request may still be sent on
+KILL_S = 0.5  # after a process was killed, in which its clients' connections end
 GRACE_S = 0.3  # after a drain was told, in which a node may still get requests
 ATTEMPTS = 4
 IDLE_S = 4.0  # after an evacuation, when no connection may rest or carry a late request
@@ -65,6 +67,7 @@
     _clients(found, list(rows(folder / "clients.log")), platform)
     nodes = list(rows(folder / "nodes.log"))
     _attempts(found, nodes)
+    _crossed(found, list(rows(folder / "clients.log")), nodes, platform)
     _limit(found, nodes)
     _cold(found, nodes, platform)
     _drains(found, nodes, platform)
@@ -83,6 +86,7 @@
             asked[request] = row["at_s"]
         elif row["event"] == "crossed":
             found.not_let_in += 1
+            asked.pop(request)
         elif row["event"] == "told":
             asked.pop(request)
         elif row["event"] == "ended":
@@ -105,6 +109,26 @@
         found.twice += at_work[request] > 1 or seen[request] > ATTEMPTS
 
 
+def _crossed(
+    found: Found, clients: list[dict[str, Any]], nodes: list[dict[str, Any]], platform: list[dict[str, Any]]
+) -> None:
+    """A request whose connection was closed in its face may not have been sent on, nor be sent on later.
+
+    Only one whose process was killed from outside may have been.
+    """
+    killed = [row["at_s"] for row in platform if row["event"] == "killed"]
+    closed = {row["request"]: row["at_s"] for row in clients if row["event"] == "crossed"}
+    sent_on = set()
+    for row in nodes:
+        request = row["request"]
+        if row["event"] != "came" or request not in closed:
+            continue
+        excused = any(at_s <= closed[request] <= at_s + KILL_S for at_s in killed)
+        if not excused or row["at_s"] > closed[request] + LEFT_S:
+            sent_on.add(request)
+    found.lost += len(sent_on)
+
+
 def _limit(found: Found, nodes: list[dict[str, Any]]) -> None:
     """The plan's store, from the first attempts of its requests."""
     level, last_s = BURST, 0.0
--- a/harriertide/lab/upgrade_world.py
+++ b/harriertide/lab/upgrade_world.py
@@ -219,6 +219,31 @@
         return int(head.split(" ", 2)[1]), "connection: close" not in head
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a client asks for."""
+
+    key: int
+    plan: str
+    units: int
+    shard: int
+    long: bool
+
+    def request_id(self, attempt: int) -> str:
+        """A repeat is a request of its own: a process that was killed may have sent on the first."""
+        return f"r{self.key}" if attempt == 0 else f"r{self.key}-repeat"
+
+    def encode(self, attempt: int) -> bytes:
+        """The request's bytes."""
+        long = "X-Long: 1\r\n" if self.long else ""
+        return (
+            f"GET /api?key={self.key:016x} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.request_id(attempt)}\r\n"
+            f"X-Call-Class: read\r\nX-Storage-Class: {self.plan}\r\n"
+            f"X-Budget-Ms: {DEADLINE_MS}\r\n{long}"
+            f"X-Extent: volume={7:016x},units={self.units},shard={self.shard},hosts=1\r\n\r\n"
+        ).encode()
+
+
 class Clients:
     """Open-loop clients that keep connections, as many as they need."""
 
@@ -246,47 +271,54 @@
         for connection in self.idle:
             connection.writer.transport.abort()
 
-    def _request(self) -> tuple[str, bytes]:
+    def _draw(self) -> Wanted:
         self.made += 1
-        request, random = f"r{self.made}", self._random
-        long = "X-Long: 1\r\n" if random.random() < self.long_part else ""
-        return request, (
-            f"GET /api?key={self.made:016x} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {request}\r\n"
-            f"X-Call-Class: read\r\nX-Storage-Class: {random.choice(PLANS)}\r\n"
-            f"X-Budget-Ms: {DEADLINE_MS}\r\n{long}"
-            f"X-Extent: volume={7:016x},units={random.randint(1, 3)},shard={random.randrange(3)},"
-            "hosts=1\r\n\r\n"
-        ).encode()
+        random = self._random
+        return Wanted(
+            key=self.made,
+            plan=random.choice(PLANS),
+            units=random.randint(1, 3),
+            shard=random.randrange(3),
+            long=random.random() < self.long_part,
+        )
 
     async def _one(self) -> None:
-        request, text = self._request()
-        self._logs.write("clients", "asked", request=request)
+        """Ask; once more on a new connection, where a kept one was closed before an answer began."""
+        wanted = self._draw()
         self.idle = [each for each in self.idle if not each.reader.at_eof()]
-        for again in (False, True):  # once more, where its connection was closed before it was read
-            kept = bool(self.idle) and not again
-            connection = self.idle.pop() if kept else await self._connect()
-            try:
-                self.at_work[connection] = asyncio.get_running_loop().time()
-                async with asyncio.timeout(END_S):
-                    status, keep = await connection.ask(text)
-            except Ended as end:
-                if kept and not end.begun:
-                    self._logs.write("clients", "crossed", request=request)
-                    continue
-                self._logs.write("clients", "ended", request=request, begun=end.begun)
-                return
-            except (OSError, TimeoutError):
-                self._logs.write("clients", "ended", request=request, begun=False)
-                return
-            finally:
+        if not self.idle:
+            await self._attempt(wanted, 0, None)
+        elif not await self._attempt(wanted, 0, self.idle.pop()):
+            await self._attempt(wanted, 1, None)
+
+    async def _attempt(self, wanted: Wanted, attempt: int, kept: Connection | None) -> bool:
+        """Ask on a kept connection, or on a new one; False where the kept one was closed first."""
+        request = wanted.request_id(attempt)
+        self._logs.write("clients", "asked", request=request)
+        connection = kept
+        try:
+            connection = kept or await self._connect()
+            self.at_work[connection] = asyncio.get_running_loop().time()
+            async with asyncio.timeout(END_S):
+                status, keep = await connection.ask(wanted.encode(attempt))
+        except Ended as end:
+            if kept is not None and not end.begun:
+                self._logs.write("clients", "crossed", request=request)
+                return False
+            self._logs.write("clients", "ended", request=request, begun=end.begun)
+            return True
+        except (OSError, TimeoutError):
+            self._logs.write("clients", "ended", request=request, begun=False)
+            return True
+        finally:
+            if connection is not None:
                 self.at_work.pop(connection, None)
-            self._logs.write("clients", "told", request=request, status=status)
-            if keep:
-                self.idle.append(connection)
-            else:
-                connection.writer.close()
-            return
-        self._logs.write("clients", "ended", request=request, begun=False)
+        self._logs.write("clients", "told", request=request, status=status)
+        if keep:
+            self.idle.append(connection)
+        else:
+            connection.writer.close()
+        return True
 
     def still_open(self, late_s: float) -> tuple[int, int]:
         """Connections that rest and were not ended, and those that carry a request younger than that."""
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,7 +12,7 @@
 from harriertide.decide.settings import PlainError
 from harriertide.lab import drains, upgrades
 from harriertide.lab.upgrade_judge import IDLE_S, Found, judge
-from harriertide.lab.upgrade_world import BURST, COLD_UNITS
+from harriertide.lab.upgrade_world import BURST, COLD_UNITS, Wanted
 
 COURSES = {
     "replaced, in a drain, from a bad configuration": ["plain", "in-a-drain", "bad-configuration"],
@@ -75,12 +75,21 @@
 ASKED = row(1.0, "asked", request="a")
 TOLD = row(1.2, "told", request="a", status=200)
 ENDED = row(1.2, "ended", request="a", begun=False)
+CROSSED = row(1.1, "crossed", request="a")
 HEAVY = [came(1 + n / 1000, f"r{n}", 6, "capped") for n in range(int(BURST / 6) + 4)]
 FLOOD = [came(1.1 + n / 1000, f"r{n}", 6) for n in range(int(COLD_UNITS))]
 PLANTED: dict[str, tuple[str, dict[str, list[Row]]]] = {
     "no answer": ("lost", {"clients": [ASKED]}),
     "an ended connection": ("lost", {"clients": [ASKED, ENDED]}),
     "one killed long before": ("lost", {"clients": [ASKED, ENDED], "platform": [row(0.5, "killed")]}),
+    "a request sent on and closed on": ("lost", {"clients": [ASKED, CROSSED], "nodes": [came(1.05, "a")]}),
+    "one that a killed process's successor sends on": (
+        "lost",
+        {
+            "clients": [ASKED, CROSSED], "nodes": [came(1.05, "a"), answered(1.1, "a"), came(1.3, "a")],
+            "platform": [row(1.09, "killed")],
+        },
+    ),
     "a second copy": ("twice", {"nodes": [came(1, "a"), came(1.1, "a")]}),
     "a fifth attempt": (
         "twice", {"nodes": [each for n in range(5) for each in (came(n, "a"), answered(n + 0.1, "a"))]},
@@ -109,8 +118,14 @@
 def test_judges_find_nothing_in_what_is_right(tmp_path: Path) -> None:
     found = found_in(
         tmp_path,
-        clients=[ASKED, row(1.1, "crossed", request="a"), TOLD],
-        nodes=[came(1, "a"), answered(1.1, "a"), came(1.2, "a"), answered(1.3, "a"), *HEAVY[:8]],
+        clients=[
+            ASKED, TOLD, row(1.0, "asked", request="b"), row(1.1, "crossed", request="b"),
+            row(1.1, "asked", request="b-repeat"), row(1.2, "told", request="b-repeat", status=200),
+        ],
+        nodes=[
+            came(1, "a"), answered(1.1, "a"), came(1.2, "a"), answered(1.3, "a"),
+            came(1.2, "b-repeat"), answered(1.3, "b-repeat"), *HEAVY[:8],
+        ],
         platform=[
             row(1.0, "listed", node="s0", health="draining"),
             row(1.1, "listed", node="s0", health="up"),
@@ -119,9 +134,25 @@
             row(2.0, "open", idle=0, late=0),
             row(2.0, "rejoined", took_s=0.1),
         ],
-    )
+    )  # fmt: skip
     assert not found.broken and found.not_let_in == 1 and found.ready_p99 == 0.4
 
 
 def test_what_a_killed_process_had_taken_is_not_lost_by_the_broker(tmp_path: Path) -> None:
     assert not found_in(tmp_path, clients=[ASKED, ENDED], platform=[row(1.19, "killed")]).broken
+
+
+def test_a_client_of_a_killed_process_may_ask_again_while_a_node_is_at_work(tmp_path: Path) -> None:
+    found = found_in(
+        tmp_path,
+        clients=[ASKED, CROSSED, row(1.1, "asked", request="a-repeat"), row(1.2, "told", request="a-repeat")],
+        nodes=[came(1.05, "a"), came(1.101, "a-repeat"), answered(1.15, "a"), answered(1.2, "a-repeat")],
+        platform=[row(1.09, "killed")],
+    )
+    assert not found.broken and found.not_let_in == 1
+
+
+def test_a_client_asks_again_under_a_name_of_its_own() -> None:
+    wanted = Wanted(key=1, plan="free", units=1, shard=0, long=False)
+    assert wanted.request_id(0) != wanted.request_id(1)
+    assert wanted.request_id(1).encode() in wanted.encode(1)
