End a request that its node calls over: no pressure at the shard, no further attempt

All 2,345 attempts turned away had 504, none 503, four for each such request, none ever followed by a 200. Each booked a whole aim as strain (rules.py, _outcome: plain), so that shards without load were judged pressed. What the 504 is: of reads whose head comes in pieces, 587 of 587 that name another shard than the one that took their object were turned away, 0 of 71 that name the right one, and 0 of 1,871 reads of old objects; a whole head always names the right one. Ruled out: number and sizes of pieces, time of the head, letter case, fields, plan, units, shard, hosts (21 to 28% each).

Cause: http/nodes.py, outcome: 503 and 504 with X-Rejected were both 'full', a word on the state of the node.

Change: 504 with X-Rejected is 'moot': never ran, nothing about the node, the request is refused at once. The scenario that tried again behind a 504 holds the 503 twice now, and one of its own the 504: one attempt, answered at once.

Wrong guess on the way: the client's small receive window.

--- a/harriertide/http/nodes.py
+++ b/harriertide/http/nodes.py
@@ -99,8 +99,11 @@
     """What a whole answer of a node means, by its status."""
     if 200 <= answer.status < 300:
         return "ok"
-    if answer.status in (503, 504) and answer.headers.get("X-Rejected") == "1":
-        return "full"
+    if answer.headers.get("X-Rejected") == "1":
+        if answer.status == 503:
+            return "full"
+        if answer.status == 504:  # the request is over, or for another shard: nothing about the node itself
+            return "moot"
     return "error"
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -134,11 +134,18 @@
         b1 expect GET /api
         b1 send 503 X-Rejected=1
         b1 expect GET /api
-        b1 send 504 X-Rejected=1
+        b1 send 503 X-Rejected=1
         b1 expect GET /api
         b1 send 500
         c expect 503 Retry-After=0.*
         d expect outcome_full=2 outcome_error=1""",
+    "a request that its node calls over is refused at once, and sent nowhere again": """
+        c send GET /api @0
+        b1 expect GET /api
+        b1 send 504 X-Rejected=1
+        c expect 503 Retry-After=0.*
+        b1 expect nothing
+        d expect outcome_moot=1 attempts=1""",
     "a box that refuses connections is told to the client as a refusal": """
         b1 close listen
         c send GET /api @0
