Keep a node's connection behind an answer in chunks; keep trailers out of the next request

A new connection costs a node work and its first request time.

Cause: http/lines.py, _frame: each answer in chunks closed its connection, as surplus behind it could not be told from it. Found while reading how chunks end, and shown by tests before: the last trailer of a request in chunks was read as the first field of the next one (aiohttp's parser gives it out with the next head: X-Sum went on to the node, X-Budget-Ms made the next request malformed); a whole request sent ahead in one piece with the end of a body took the place of the request it came behind (platform/connection.py, data_received), which was never answered.

Change: a body in chunks is whole when the parser says so and what came ends as chunks do; a second head, noise or half a head behind it make the connection unfit, as behind a length. The clients' parser is made anew behind a body in chunks. What is sent ahead closes the connection behind the first answer, as elsewhere.

Not taken: a scanner of chunks of our own: the library's parser knows the end. Tests: tests/test_framing.py, 9 of 14 seen to fail without the change; the surplus cases held before, by closing.

--- a/harriertide/http/lines.py
+++ b/harriertide/http/lines.py
@@ -31,6 +31,7 @@
 STALL_S = 0.06
 REST_S = 0.01  # behind an answer, for what a box in trouble sends some milliseconds after it
 _EOF_LINES = frozenset((204, 304))
+END_OF_CHUNKS = b"\r\n\r\n"  # the empty line behind the last chunk, or behind its trailers
 
 
 def read_in_chunks(transport: asyncio.BaseTransport) -> None:
@@ -71,6 +72,8 @@
         self._whole = self._ended = False
         self._held_most = 0
         self._message: RawResponseMessage | None = None
+        self._chunked = False
+        self._last_bytes = b""  # of a body in chunks, as many as its end has
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Any byte that the system has not taken counts as unsent."""
@@ -159,6 +162,7 @@
         """Cut out what belongs to the answer."""
         if not data:  # the reader has caught up
             super().data_received(data)
+            self._look_for_end()
             return
         self._cut(data)
         if self._whole:
@@ -195,10 +199,25 @@
             if self._left < 0 or (self._whole and not self._hold(len(data))):
                 self._spoil("a body over its bound")
                 return
+            self._last_bytes = (self._last_bytes + data[-len(END_OF_CHUNKS) :])[-len(END_OF_CHUNKS) :]
             super().data_received(data)
+            self._look_for_end()
         else:
             self._too_much()
 
+    def _look_for_end(self) -> None:
+        """Whether a body in chunks has come whole, and nothing behind it.
+
+        The parser goes on behind the last chunk: a second head there is another message, noise an error, and
+        what is neither yet can't end as the chunks do. With any of these no other request goes over it.
+        """
+        body = self._payload
+        if self._phase is not Phase.OPEN or not self._chunked or body is None or not body.is_eof():
+            return
+        if self._message is not None or self._last_bytes != END_OF_CHUNKS:
+            self.surplus = True
+        self._phase = Phase.WHOLE
+
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """A head was read. 1xx in front of the answer are skipped."""
         self._message = data[0]
@@ -241,9 +260,8 @@
         elif message.code in _EOF_LINES:
             self._phase = Phase.WHOLE
         elif message.chunked or self._says_close(message):
-            # behind a body that ends by itself, surplus can't be told from it: no further request
             self._phase, self._left = Phase.OPEN, self._most + HEAD_BYTES
-            self.force_close()
+            self._chunked, self._last_bytes = message.chunked, b""
         else:
             self._spoil("a body without a length")
 
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -16,7 +16,7 @@
 from aiohttp import HttpVersion11
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_parser import RawRequestMessage
+from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
 
 from harriertide.core import events as ev
@@ -170,7 +170,9 @@
         if streams:
             self._closing = self._closing or bool(messages)
             return
-        if messages:
+        if messages and self._message is not None:  # sent ahead, in one piece with the end of a body
+            self._closing = True
+        elif messages:
             self._closing = len(messages) > 1
             self._begin(*messages[0])
         if self._body is not None and not self._looking:
@@ -212,10 +214,9 @@
             self._come += len(part)
         self._looking = False
         message, come = self._message, self._come
-        assert message is not None and self._parser is not None
+        assert message is not None
         if body.is_eof():
-            self._body = None
-            self._parser.message_consumed()
+            self.body_taken()
             self.table.move(self, "busy")
             self._front.take(self, message, self._joined())
         elif come > BODY_BYTES:
@@ -236,10 +237,26 @@
         self.refuse(413, "the body is too long")
 
     def body_taken(self) -> None:
-        """A body that was sent on as it came has come to its end."""
+        """The body has come to its end."""
         self._body = None
-        if self._parser is not None:
-            self._parser.message_consumed()
+        if self._parser is None:
+            return
+        self._parser.message_consumed()
+        if b"transfer-encoding" in self.fields:
+            self._renew_parser()
+
+    def _renew_parser(self) -> None:
+        """Guards against a trailer read as a field of the next request: aiohttp's parser keeps the last."""
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_headers=self.max_headers,
+            max_field_size=self.max_field_size,
+            auto_decompress=False,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
 
     # --- what goes -----------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_framing.py
@@ -0,0 +1,104 @@
+"""Bodies in chunks on connections that are kept: where they end, and what lies behind them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from tests.test_bodies import HEAD, LONG, all_of, ask, chunks
+from tests.test_crossings import House, answer, inside
+
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+SHORT = CHUNKED + b"4;name=value\r\ndata\r\n0\r\n\r\n"
+TRAILED = CHUNKED + b"4\r\ndata\r\n0\r\nX-Rejected: 1\r\n\r\n"
+ANSWERS = {"short": SHORT, "with a trailer": TRAILED, "long": CHUNKED + chunks(LONG, 10_000)}
+SURPLUS = {
+    "another answer": SHORT + HEAD + b"Content-Length: 5\r\n\r\nstray",
+    "another answer without a body": SHORT + HEAD + b"Content-Length: 0\r\n\r\n",
+    "a part of a head": SHORT + b"HTTP/1.1 2",
+    "a head that goes on": SHORT + b"HTTP/1.1 200 OK\r\nX-Long: 1\r\n",
+    "noise": SHORT + b"\xff\r\n\r\n",
+}
+
+
+async def answered(house: House, client: socket.socket, data: bytes, piece: int) -> bytes:
+    """One request, answered by these bytes in pieces of that size: what its client gets."""
+    client.sendall(ask(house))
+    node = await house.asked()
+    for at in range(0, len(data), piece):
+        node.writer.write(data[at : at + piece])
+        await node.writer.drain()
+        await asyncio.sleep(0)
+    return await all_of(client, b"0\r\n\r\n" if data.endswith(chunks(LONG, 10_000)) else b"data")
+
+
+@pytest.mark.parametrize("piece", [1 << 20, 7])
+@pytest.mark.parametrize("data", ANSWERS.values(), ids=ANSWERS.keys())
+def test_a_connection_is_kept_behind_an_answer_in_chunks(data: bytes, piece: int) -> None:
+    async def play(house: House) -> None:
+        client, pool = house.client(), house.daemon.client.pool
+        await answered(house, client, data, max(piece, len(data) // 100))
+        async with asyncio.timeout(2):
+            while not pool._idle:
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(0.02)  # the connection's rest behind an answer
+        assert b"X-Rejected" not in await answered(house, client, SHORT, 1 << 20)
+        assert house.daemon.client.counts["connected"] == 1
+
+    inside(play)
+
+
+@pytest.mark.parametrize("data", SURPLUS.values(), ids=SURPLUS.keys())
+def test_what_lies_behind_the_last_chunk_never_answers_the_next_request(data: bytes) -> None:
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(ask(house))
+        (await house.asked()).writer.write(data)
+        assert (await all_of(client, b"data")).startswith(b"HTTP/1.1 200 ")
+        await asyncio.sleep(0.02)
+        client.sendall(ask(house))
+        answer(await house.asked(), body=b"mine")
+        assert (await all_of(client, b"mine")).startswith(b"HTTP/1.1 200 ")
+        assert house.daemon.client.counts["connected"] == 2
+
+    inside(play)
+
+
+@pytest.mark.parametrize("piece", [1 << 20, 50])
+def test_a_trailer_is_no_field_of_the_next_request(piece: int) -> None:
+    async def play(house: House) -> None:
+        client = house.client()
+        put = ask(house, "Transfer-Encoding: chunked\r\n", "PUT")
+        put += b"4\r\ndata\r\n0\r\nX-Sum: 1\r\nX-Budget-Ms: 1\r\n\r\n"
+        for at in range(0, len(put), piece):
+            client.sendall(put[at : at + piece])
+            await asyncio.sleep(0)
+        answer(await house.asked())
+        await all_of(client, b"ok")
+        client.sendall(ask(house, "X-Own: 1\r\n"))
+        async with asyncio.timeout(5):
+            _, fields, _, node = await house.box.asked.get()
+        answer(node)
+        assert (await all_of(client, b"ok")).startswith(b"HTTP/1.1 200 ")
+        assert "X-Sum" not in fields and int(fields["X-Budget-Ms"]) > 1000 and fields["X-Own"] == "1"
+
+    inside(play)
+
+
+def test_a_request_sent_ahead_with_the_end_of_a_body_does_not_take_its_place() -> None:
+    async def play(house: House) -> None:
+        client = house.client()
+        client.sendall(ask(house, "Content-Length: 6\r\n", "PUT") + b"abc")
+        await asyncio.sleep(0.02)
+        client.sendall(b"def" + ask(house))
+        async with asyncio.timeout(5):
+            (method, *_), _, body, node = await house.box.asked.get()
+        assert (method, body) == ("PUT", b"abcdef")
+        answer(node)
+        got = await all_of(client)
+        assert got.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in got and got.endswith(b"ok")
+        assert house.box.asked.empty()
+
+    inside(play)
