Send a read that its node calls moot to the shard that took its object here

Change: the module keeps, for a minute and at most 4,096, which shard took which new object through this broker, where the first attempt that may have run is the one that was answered. The client's word goes first; only a read that is moot there is sent again, to the shard known, once. An upgrade hands the places over (record version 2).

Not taken: to go by the places before the client's word: one that has been written anew through another broker would be sent wrong. To tell other brokers of places: a datagram for each write. To ask other shards in turn: 504 each.

--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -12,7 +12,7 @@
 
 from harriertide.core import events as ev
 from harriertide.decide import api
-from harriertide.decide.rules import MARGIN_US, NEVER_RAN, NO_LIFE, Scheduler
+from harriertide.decide.rules import MARGIN_US, Scheduler
 from harriertide.decide.state import Cell
 
 # Guards against a cold node's budget being booked in one window and spent in the next: an attempt that
@@ -218,15 +218,15 @@
             return []
         self.counts[f"outcome_{event.kind}"] += 1
         node, taken.out = taken.node, -1
-        taken.reached = taken.reached or event.kind not in NEVER_RAN
+        taken.reached = taken.reached or event.kind not in api.NEVER_RAN
         if taken.reached and not taken.maybe_us:
             taken.maybe_us = taken.sent_us
         if self.barred is None or node not in self._nodes:
             pass  # nobody asks
-        elif event.kind in NO_LIFE:
+        elif event.kind in api.NO_LIFE:
             # one that can't be reached is tried seldom from then on: that alone says as much as two others
             self.lifeless[node] += 2 if event.kind == "connect_failed" else 1
-        elif event.kind not in NEVER_RAN:
+        elif event.kind not in api.NEVER_RAN:
             self.lifeless.pop(node, None)
         if event.kind in _UNSETTLED:
             taken.settled_us = now_us + SETTLE_US
--- a/harriertide/decide/api.py
+++ b/harriertide/decide/api.py
@@ -103,6 +103,11 @@
         if self.extra_floor is not None:
             _at_least(self, 0, "extra_floor")
 
+    def same_brokers(self, other: Settings) -> bool:
+        """Whether those settings are of the same brokers, with the same part of a cold node for each."""
+        names = ("head", "heads", "may_tell", "cold_units", "most_units")
+        return all(getattr(self, name) == getattr(other, name) for name in names)
+
 
 # --- events ---------------------------------------------------------------------------------
 
@@ -153,6 +158,10 @@
 OutcomeKind: TypeAlias = Literal[
     "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"
 ]
+NO_LIFE: frozenset[OutcomeKind] = frozenset(
+    {"timeout", "connect_failed", "reset"}
+)  # no sign of life of the node
+NEVER_RAN: frozenset[OutcomeKind] = frozenset({"full", "connect_failed", "moot"})
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/decide/handover.py
+++ b/harriertide/decide/handover.py
@@ -87,6 +87,7 @@
     usual: list[float] = field(default_factory=list)
     taken: list[int] = field(default_factory=list)
     extra: list[int] = field(default_factory=list)
+    placed: dict[str, tuple[int, int]] = field(default_factory=dict)
     leases: LeaseState | None = None
 
 
@@ -111,6 +112,7 @@
         usual=list(scheduler._usual),
         taken=list(scheduler._taken),
         extra=list(scheduler._extra),
+        placed=scheduler._placed.rows,
         leases=LeaseState(leases.epoch, leases._slots, leases._funds) if leases is not None else None,
     )
 
@@ -139,6 +141,7 @@
     scheduler._tallies.update(state.tallies)
     scheduler._usual[: len(state.usual)] = state.usual[: len(scheduler._usual)]
     scheduler._taken, scheduler._extra = deque(state.taken), deque(state.extra)
+    scheduler._placed.rows.update(state.placed)
     _import_leases(scheduler._leases, state.leases)
 
 
--- a/harriertide/decide/rules.py
+++ b/harriertide/decide/rules.py
@@ -10,20 +10,19 @@
 from collections import deque
 from heapq import heappop, heappush
 from math import ceil, log
-from operator import attrgetter
 from random import Random
 from zlib import crc32
 
 from harriertide.decide import api
 from harriertide.decide.leases import CALL_US, LIFE_US, Credit, Leases
 from harriertide.decide.notes import ASK, BID, CALL, GIFT, GRANT, PROOF_US, SUM, decode, encode
-from harriertide.decide.state import Cell, Line, Node, Request, Store, Tally, Volume
+from harriertide.decide.state import Cell, Line, Node, Placements, Request, Store, Tally, Volume, drop_until
 
 # Rounds and bids
 ROUND_US = 300_000  # between bids; the page's 2 s lets a surge of 5 to 15 s run wild too long
 BID_LIFE_US = 3_200_000  # lost bids and sums are bridged by the last ones so long (thesis, 5.6)
 SMOOTH = 0.5  # weight of the newest round in the demand figures; bids are noisy, surges quick
-REST_US = 60_000_000  # a volume without demand, and who uses a shard, is forgotten after so long, or later
+REST_US = 60_000_000  # volumes without demand, users of shards, places of objects: forgotten after so long
 BID_LEAST = 0.1  # demand, in mean requests a second, below which a head bids no more
 LEAD = 2.0  # even parts of a volume's dues that each of its heads counts on: the lead uses more
 WARN_US = 1_000_000  # between sums of a pressured shard to all heads that use it, asked or not
@@ -55,15 +54,11 @@
 OVERTAKEN = 2  # answers of a node to what it was sent later, after which an attempt there may be lost
 PATIENCE = 5.0  # and latest latencies there, by size, that it has lasted
 MARGIN_US = 50_000  # kept to the end of a repeat window
-# Backoff of calls to the node list; the longest and a call without an answer end before a change counts as
-# told (platform/discovery.py). For each head: the first wait, and the spread of first calls
+# Backoff of calls to the list (platform/discovery.py). For each head: the first wait, first calls' spread
 ASK_FIRST_US, ASK_MOST_US, CALL_FIRST_US, CALL_SPREAD_US = 400_000, 2_000_000, 6_000, 12_500
 FEW_PROVEN = 0.5  # mean requests that the safe units stand for among the answers of a cold node
 PROOF = 16  # large requests' worth of answers that tell what a cold node can do by now
-NO_LIFE = frozenset({"timeout", "connect_failed", "reset"})
-NEVER_RAN = frozenset({"full", "connect_failed", "moot"})
 SECOND = 1_000_000
-FLEET = attrgetter("head", "heads", "may_tell", "cold_units", "most_units")
 
 
 class Scheduler:
@@ -83,6 +78,7 @@
         self._touched: dict[int, Cell] = {}  # shards where held work may go now
         self._tallies: dict[int, Tally] = {}  # kept here for all heads, by shard
         self._resting: dict[int, int] = {}  # volumes: since when without demand, longest first
+        self._placed = Placements()
         self._lost: dict[str, int] = {}  # nodes that are off the list: since when, longest first
         self._notes: dict[tuple[int, int], list[tuple[int, list[float]]]] = {}
         self._later: list[tuple[int, int, Request | Cell | Leases | str | None]] = []
@@ -95,7 +91,7 @@
 
     def _settle(self, settings: api.Settings) -> None:
         """Take new figures; classes and plans keep their places, new ones come after them."""
-        if FLEET(settings) != FLEET(self._s):
+        if not settings.same_brokers(self._s):
             # Heads may be others now, with other keepers. What these gave of cold nodes counts as all of it.
             self._leases = None
             for volume in self._volumes.values():  # nor is it known what they sent of its limit
@@ -196,6 +192,7 @@
 
     def _forget(self) -> None:
         """Let go of what can't matter any more: a volume's stores are full, a node's cold time is over."""
+        self._placed.forget(self._now - REST_US)
         if self._leases:
             self._leases.forget(self._now - self._rest_us)
         while self._resting and self._now - next(iter(self._resting.values())) > self._rest_us:
@@ -319,7 +316,8 @@
             # the limit's part starts as just spent: a head may have restarted
             stores = Store(self._s.most_units, self._now), Store(0.0, self._started)
             self._volumes[key] = Volume(key, part, *stores)
-            self._resting[key] = self._now
+        self._resting.pop(key, None)
+        self._resting[key] = self._now
         load = event.units * self._aim / kind.aim_us
         request = Request(event.request, kind, event, self._volumes[key], self._now, due_us, load)
         self._requests[request.id] = request
@@ -350,8 +348,6 @@
     def _weigh(self, request: Request, cell: Cell) -> None:
         """Worth a unit, by class, plan and what is still due to the volume, as seen from here."""
         event, plan, volume = request.arrival, self._s.plans[request.arrival.plan], request.volume
-        self._resting.pop(volume.key, None)
-        self._resting[volume.key] = self._now
         weight = cell.weights[event.volume] = plan.weight * volume.part
         rate = SHARE_PART * cell.capacity * weight / max(cell.weight_sum, plan.weight)
         reserve, share = volume.reserve, volume.shares.setdefault(cell.shard, Store(rate, self._now))
@@ -510,14 +506,14 @@
         node.flying.pop(request, None)
         cell = request.cell
         assert cell is not None
-        if event.kind not in NEVER_RAN and (request.maybe_us == 0 or sent_us < request.maybe_us):
+        if event.kind not in api.NEVER_RAN and (request.maybe_us == 0 or sent_us < request.maybe_us):
             request.maybe_us, request.maybe_node = sent_us, node
         if request.line is not None and event.kind in ("timeout", "reset", "cancelled"):
             request.line.rest_us = self._now + self._s.key_rest_us + self._s.tick_us
         self._health(event, node)
         self._touched[cell.shard] = self._active[cell.shard] = cell
         # no sign of life is no figure of how busy a node is: it counts like a 'full', however long it took
-        plain = event.kind == "full" or event.kind in NO_LIFE
+        plain = event.kind == "full" or event.kind in api.NO_LIFE
         took = 1.0 if plain else (self._now - request.taken_us) / request.kind.aim_us
         if event.kind != "cancelled":
             cell.strained += request.arrival.units * min(2.0, took)
@@ -525,6 +521,8 @@
         if event.kind == "ok":
             self._overtake(node, sent_us)
             cell.served += request.arrival.units
+            if request.arrival.shard < 0 and request.maybe_node is node:  # the first that may have taken it
+                self._placed.put(request.arrival.key, node.shard, self._now)
             if self._cold(node):
                 node.answered += request.arrival.units
                 node.answered_us += event.took_us
@@ -533,10 +531,13 @@
             # low running figure: one step down outweighs three up, so it rests near the lower quarter
             self._usual[cls] = usual * (1.02 if took_us > usual else 0.94)
             node.fast += SAMPLE * (took_us / usual - node.fast)
+        arrival = self._placed.elsewhere(request.arrival) if event.kind == "moot" else request.arrival
         if event.over or request.over:
             self._close(request)
-        elif event.kind != "moot" and self._may_retry(request) and cell.nodes and self._now < request.due_us:
-            if request.arrival.shard < 0 and request.kind.effect == "safe":
+        elif arrival and self._may_retry(request) and cell.nodes and self._now < request.due_us:
+            if arrival is not request.arrival:  # it named a shard that did not take its object
+                request.arrival, request.cell = arrival, self._cells[arrival.shard]
+            elif request.arrival.shard < 0 and request.kind.effect == "safe":
                 request.cell = self._place(request.arrival.units) or cell  # a new object may go elsewhere
             self._hold(request)
         else:
@@ -547,7 +548,7 @@
 
         Guards against dead machines, cut links, hung processes and full connection tables.
         """
-        if event.kind in NO_LIFE:
+        if event.kind in api.NO_LIFE:
             # nothing listens there: it says as much as several that were not answered
             node.streak += SILENT_STREAK if event.kind == "connect_failed" else 1
             if node.streak >= SILENT_STREAK and not node.silent:
@@ -705,8 +706,7 @@
         if self._s.extra_floor is None:
             return True
         for times in (self._taken, self._extra):
-            while times and times[0] <= self._now - self._s.extra_span_us:
-                times.popleft()
+            drop_until(times, self._now - self._s.extra_span_us)
         return len(self._extra) + 1 <= self._s.extra_floor + self._s.extra_share * len(self._taken)
 
     def _limit_wait(self, request: Request) -> int:
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from harriertide.decide import api
 from harriertide.decide.leases import Credit
 
+PLACEMENTS = 4096  # new objects of which it is known where they went: a minute's at some seventy a second
+
+
+def drop_until(times: deque[int], until_us: int) -> None:
+    """Let go of the times up to that one; the oldest are first."""
+    while times and times[0] <= until_us:
+        times.popleft()
+
 
 @dataclass(slots=True, eq=False)
 class Request:
@@ -141,6 +149,30 @@
         return self.units
 
 
+@dataclass(slots=True, eq=False)
+class Placements:
+    """The shards that took new objects through this broker, by key, the newest PLACEMENTS of them."""
+
+    rows: dict[str, tuple[int, int]] = field(default_factory=dict)  # shard and when, the oldest first
+
+    def put(self, key: str, shard: int, now_us: int) -> None:
+        """A node of this shard has taken it."""
+        self.rows.pop(key, None)
+        self.rows[key] = shard, now_us
+        if len(self.rows) > PLACEMENTS:
+            del self.rows[next(iter(self.rows))]
+
+    def forget(self, until_us: int) -> None:
+        """Let go of those that were taken by then."""
+        while self.rows and next(iter(self.rows.values()))[1] <= until_us:
+            del self.rows[next(iter(self.rows))]
+
+    def elsewhere(self, arrival: api.Arrival) -> api.Arrival | None:
+        """The same request to the shard that took its object; None: the one named, or not known."""
+        shard, _ = self.rows.get(arrival.key, (arrival.shard, 0))
+        return replace(arrival, shard=shard) if shard != arrival.shard else None
+
+
 @dataclass(slots=True, eq=False)
 class Volume:
     """What this head offers of a volume, and its part of the volume's dues."""
--- a/harriertide/lifecycle/record.py
+++ b/harriertide/lifecycle/record.py
@@ -13,7 +13,7 @@
 from harriertide.decide.handover import DecisionState
 from harriertide.platform.discovery import DirectoryState
 
-VERSION = 1  # of the body's form: another one is set aside
+VERSION = 2  # of the body's form: another one is set aside
 MAGIC = b"harriertide state %d\n" % VERSION
 _HASH_BYTES = 8
 OLD_S = 10.0  # a record is read within moments of its writing, or not at all
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -210,7 +210,7 @@
 
 
 SPOILT = {
-    "another version": (lambda data: data.replace(b"state 1", b"state 2", 1), "n", 2, 100.0, "version"),
+    "another version": (lambda data: data.replace(b"state 2", b"state 1", 1), "n", 2, 100.0, "version"),
     "torn": (lambda data: data[:-3], "n", 2, 100.0, "torn"),
     "empty": (lambda data: b"", "n", 2, 100.0, "version"),
     "a flipped bit": (lambda data: data[:-1] + bytes([data[-1] ^ 1]), "n", 2, 100.0, "torn"),
@@ -274,6 +274,7 @@
     cell.demand[0] = 5.0
     keeper._volumes[9] = Volume(9, 1.0, Store(1.0, 5), Store(0.25, 6))
     keeper._tallies[node.shard] = Tally([2.0] * 9)
+    keeper._placed.put("aa", 3, START_US)
     state = record.decode(
         record.encode(replace(EMPTY, decisions=handover.export_state(keeper))), "n", 2, 100.0
     ).decisions
@@ -283,6 +284,7 @@
     assert (shard.capacity, shard.learned, shard.pressed) == (42.0, True, True)
     assert shard.shard in taker._active and taker._volumes[9].limit.units == 0.25
     assert taker._tallies[node.shard].sums == [2.0] * 9
+    assert taker._placed.rows == {"aa": (3, START_US)}
     assert new.ask(shard=node.shard) is not None  # and it goes on deciding
 
 
