Name connections to nodes as such, and give their pool a module of its own

http/lines.py (433 lines, class Line, two jobs) is http/node_connection.py and http/pool.py; variables, comments and docstrings of http/ follow, and say node for box. No behaviour changes; counters and settings keep their names.

--- a/harriertide/http/lines.py
+++ b/harriertide/http/node_connection.py
@@ -1,7 +1,7 @@
-"""Connections to boxes: answers within bounds, and a pool that hands out only what is clean.
+"""A connection to a storage node: one answer at a time, within bounds.
 
 Built on aiohttp's client protocol and its parser. Its session and connector stand aside: the session keeps
-what a box sends beyond its answer and gives it to the next request on the connection, and their pool bounds
+what a node sends beyond its answer and gives it to the next request on the connection, and their pool bounds
 only connections at work, not those that lie idle.
 """
 
@@ -11,7 +11,7 @@
 import socket
 from contextlib import suppress
 from enum import Enum
-from typing import Any
+from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import HttpVersion11
@@ -19,8 +19,8 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
-from harriertide.http.limits import Limits
-from harriertide.http.quiet import unread
+if TYPE_CHECKING:
+    from harriertide.http.pool import Pool
 
 HEAD_BYTES = 16 * 1024  # of all heads of one answer, those with 1xx in front included
 READ_BYTES = 64 * 1024  # of a body are read ahead of who takes it
@@ -29,9 +29,8 @@
 RELAY_READ = 32 * 1024  # of such an answer are read ahead
 RELAY_HELD = 4 * RELAY_READ  # and in memory at most, but for some moments, on both sides of the broker
 STALL_S = 0.06
-REST_S = 0.01  # behind an answer, for what a box in trouble sends some milliseconds after it
 _EOF_LINES = frozenset((204, 304))
-END_OF_CHUNKS = b"\r\n\r\n"  # the empty line behind the last chunk, or behind its trailers
+END_OF_CHUNKS = b"\r\n\r\n"  # the empty connection behind the last chunk, or behind its trailers
 
 
 def read_in_chunks(transport: asyncio.BaseTransport) -> None:
@@ -50,10 +49,10 @@
     WHOLE = 4
 
 
-class Line(ResponseHandler):
-    """One connection to a box. It reads just the bytes that belong to the answer asked for.
+class NodeConnection(ResponseHandler):
+    """One connection to a storage node. It reads just the bytes that belong to the answer asked for.
 
-    Guards against what boxes in trouble send: heads and bodies without end, lengths that can't be, a second
+    Guards against what nodes in trouble send: heads and bodies without end, lengths that can't be, a second
     message or noise behind a good answer or while the connection lies idle. Whatever is surplus makes the
     connection unfit for another request, and never reaches one.
     """
@@ -83,7 +82,7 @@
         read_in_chunks(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Gone, by whoever's doing. Only an orderly end of the box's side ends a body without a length.
+        """Gone, by whoever's doing. Only an orderly end of the node's side ends a body without a length.
 
         Guards against half an answer that passes for whole: the parser takes a reset for the body's end.
         """
@@ -96,7 +95,7 @@
         self._pool.drop(self)
 
     def eof_received(self) -> None:
-        """The box has ended its side."""
+        """The node has ended its side."""
         self._ended = True
         super().eof_received()
 
@@ -171,7 +170,7 @@
     def _watch(self, on: bool) -> None:
         """Look out for an answer that stops short.
 
-        Guards against boxes that announce more than they send and keep the connection open: once a part has
+        Guards against nodes that announce more than they send and keep the connection open: once a part has
         come, the rest follows at once, or never. Answers that are passed on piece by piece are not watched.
         """
         if self._stall is not None:
@@ -287,147 +286,3 @@
         self.set_exception(fault)
         self._phase, self.surplus, self.spoilt = Phase.NONE, True, True
         self.abort()
-
-
-class Pool:
-    """All connections to boxes, within a bound."""
-
-    def __init__(self, limits: Limits, keep_s: float) -> None:
-        self.keep_s = keep_s
-        self._held = 0
-        self.limit(limits)
-        self._loop = asyncio.get_running_loop()
-        self._all: set[Line] = set()
-        self._opening = 0
-        self._idle: dict[Line, None] = {}  # longest idle first
-        self._by_address: dict[str, list[Line]] = {}
-        self._at_work: dict[str, Line] = {}  # by request
-        self._sweeper: asyncio.TimerHandle | None = None
-
-    def limit(self, limits: Limits) -> None:
-        """Go by these bounds from now on."""
-        self.most, self.answer, self.held_most = limits.boxes, limits.answer, limits.held
-
-    def __len__(self) -> int:
-        return len(self._all) + self._opening
-
-    def lines(self) -> list[Line]:
-        """All connections that are up."""
-        return list(self._all)
-
-    def hold(self, line: Line, size: int) -> bool:
-        """Whether there is room in memory for an answer; it is given back with its connection."""
-        if self._held + size > self.held_most:
-            return False
-        line.held += size
-        self._held += size
-        return True
-
-    def _let_go(self, line: Line) -> None:
-        self._held -= line.held
-        line.held = 0
-
-    def take(self, address: str) -> Line | None:
-        """An idle connection that is fit for a request: the one used last, so that spare ones run out.
-
-        Guards against a request on one whose close, or whose stray bytes, lie there unread, or are still on
-        their way: what follows an answer late would pass for the answer to the next request.
-        """
-        now = self._loop.time()
-        for line in reversed(self._by_address.get(address, [])[:]):
-            if now < line.idle_since + REST_S:
-                continue
-            self._forget(line)
-            if not unread(line.transport, ends=True) and now < line.idle_since + self.keep_s:
-                return line
-            line.abort()
-        return None
-
-    async def open(self, address: str) -> Line | None:
-        """A new connection; None where the bound has no room for it."""
-        if len(self) >= self.most:
-            if not self._idle:
-                return None
-            self._close(next(iter(self._idle)))
-        host, _, port = address.rpartition(":")
-        self._opening += 1
-        try:
-            _, line = await self._loop.create_connection(
-                lambda: Line(self._loop, address, self), host, int(port)
-            )
-        finally:
-            self._opening -= 1
-        if line.transport is None:
-            raise ConnectionResetError("the connection is gone")
-        self._all.add(line)
-        return line
-
-    def at_work(self, request: str) -> Line | None:
-        """The connection that an attempt of a request was written to, until it is free or closed."""
-        return self._at_work.get(request)
-
-    def begin(self, line: Line, request: str) -> None:
-        """An attempt is about to be written to it."""
-        line.request = request
-        self._at_work[request] = line
-
-    def _done(self, line: Line) -> None:
-        if self._at_work.get(line.request) is line:
-            del self._at_work[line.request]
-
-    def put(self, line: Line) -> None:
-        """Back after an exchange: kept if it is fit, else closed."""
-        self._let_go(line)
-        if not line.fit or len(self) > self.most:
-            line.abort()
-            return
-        self._done(line)
-        self.rest(line)
-
-    def rest(self, line: Line) -> None:
-        """Keep a connection on which nothing is asked."""
-        line.rest()
-        line.idle_since = self._loop.time()
-        self._idle[line] = None
-        self._by_address.setdefault(line.address, []).append(line)
-        if self._sweeper is None:
-            self._sweeper = self._loop.call_at(line.idle_since + self.keep_s, self._sweep)
-
-    def _forget(self, line: Line) -> None:
-        """No longer idle."""
-        del self._idle[line]
-        lines = self._by_address[line.address]
-        lines.remove(line)
-        if not lines:
-            del self._by_address[line.address]
-
-    def _close(self, line: Line) -> None:
-        self._forget(line)
-        line.abort()
-
-    def drop(self, line: Line) -> None:
-        """It is gone."""
-        self._let_go(line)
-        self._done(line)
-        self._all.discard(line)
-        if line in self._idle:
-            self._forget(line)
-
-    def _sweep(self) -> None:
-        """Close what has been idle for too long."""
-        self._sweeper = None
-        while self._idle:
-            line = next(iter(self._idle))
-            if line.idle_since + self.keep_s > self._loop.time():
-                self._sweeper = self._loop.call_at(line.idle_since + self.keep_s, self._sweep)
-                return
-            self._close(line)
-
-    async def close(self) -> None:
-        """Drop all connections."""
-        if self._sweeper is not None:
-            self._sweeper.cancel()
-        waits: list[Any] = [closed for line in self._all if (closed := line.closed) is not None]
-        for line in list(self._all):
-            line.abort()
-        await asyncio.gather(*waits, return_exceptions=True)
--- a/harriertide/http/nodes.py
+++ b/harriertide/http/nodes.py
@@ -16,7 +16,8 @@
 from harriertide.engine.clock import until
 from harriertide.engine.runtime import Attempt
 from harriertide.http.limits import Limits
-from harriertide.http.lines import RELAY_BYTES, Line, Pool
+from harriertide.http.node_connection import RELAY_BYTES, NodeConnection
+from harriertide.http.pool import Pool
 from harriertide.http.relay import Remainder
 
 Body = bytes | AsyncIterator[bytes]
@@ -52,12 +53,14 @@
 
 
 class Incoming:
-    """A node's answer, its head read and its body on the way. The line bounds how much may come."""
+    """A node's answer, its head read and its body on the way. The connection bounds how much may come."""
 
-    __slots__ = ("status", "headers", "content", "line", "detached")
+    __slots__ = ("status", "headers", "content", "connection", "detached")
 
-    def __init__(self, status: int, headers: Mapping[str, str], content: StreamReader, line: Line) -> None:
-        self.status, self.headers, self.content, self.line = status, headers, content, line
+    def __init__(
+        self, status: int, headers: Mapping[str, str], content: StreamReader, connection: NodeConnection
+    ) -> None:
+        self.status, self.headers, self.content, self.connection = status, headers, content, connection
         self.detached = False  # its connection has another owner now
 
     async def read(self) -> bytes:
@@ -148,14 +151,14 @@
         most: int | None = BODY_BYTES,
         relayed: bool = False,
     ) -> AsyncIterator[Incoming]:
-        """Send the request; the answer as it comes. most, relayed: see Line.ask.
+        """Send the request; the answer as it comes. most, relayed: see NodeConnection.ask.
 
         Raises BrokenError as PROTOCOL's table has it.
         """
         address = self._find(attempt.node)
         if address is None:
             raise BrokenError("full")
-        line: Line | None = None
+        connection: NodeConnection | None = None
         asked = False
         incoming: Incoming | None = None
         stream: asyncio.Task[None] | None = None
@@ -163,44 +166,49 @@
             async with asyncio.timeout_at(attempt.runtime.clock.loop_time(attempt.stop_at_us)) as limit:
                 first = body if isinstance(body, bytes) else await anext(body)
                 await self._alone(attempt)
-                line = self.pool.take(address)
-                if line is None:  # not "or": a line without a message is an empty queue, and false
-                    line = await self._connect(address, attempt, limit)
+                connection = self.pool.take(address)
+                if connection is None:  # not "or": one without a message is an empty queue, and false
+                    connection = await self._connect(address, attempt, limit)
                 kind = attempt.may_write()
                 if kind is not None:
-                    self.pool.rest(line)
-                    line = None
+                    self.pool.rest(connection)
+                    connection = None
                     raise BrokenError(kind)
-                line.ask(_head(method, target, _rows(headers)) + first, most, relayed)
-                self.pool.begin(line, attempt.request)
+                connection.ask(_head(method, target, _rows(headers)) + first, most, relayed)
+                self.pool.begin(connection, attempt.request)
                 asked = True
                 if not isinstance(body, bytes):
-                    stream = asyncio.get_running_loop().create_task(self._stream(line, body, attempt))
-                message, content = await line.read()
-                incoming = Incoming(message.code, message.headers, content, line)
+                    stream = asyncio.get_running_loop().create_task(self._stream(connection, body, attempt))
+                message, content = await connection.read()
+                incoming = Incoming(message.code, message.headers, content, connection)
                 yield incoming
         except TimeoutError:
-            raise BrokenError(self._end("timeout", line, asked, stream)) from None
+            raise BrokenError(self._end("timeout", connection, asked, stream)) from None
         except (aiohttp.ClientError, HttpProcessingError, OSError):
-            raise BrokenError(self._end("reset", line, asked, stream)) from None
+            raise BrokenError(self._end("reset", connection, asked, stream)) from None
         finally:
-            if stream is not None and not self._let_go(stream) and line is not None:
-                line.force_close()  # an early answer: the rest of the body would be taken for a request
-            if line is not None and not (incoming is not None and incoming.detached):
-                self.pool.put(line)
+            if stream is not None and not self._let_go(stream) and connection is not None:
+                connection.force_close()  # an early answer: the rest of the body would be taken for a request
+            if connection is not None and not (incoming is not None and incoming.detached):
+                self.pool.put(connection)
 
     @staticmethod
     def _end(
-        kind: api.OutcomeKind, line: Line | None, asked: bool, stream: asyncio.Task[None] | None
+        kind: api.OutcomeKind,
+        connection: NodeConnection | None,
+        asked: bool,
+        stream: asyncio.Task[None] | None,
     ) -> api.OutcomeKind:
-        """A box starts a request with its last byte: one that was not written out never ran.
+        """A node starts a request with its last byte: one that was not written out never ran.
 
         One that answered, if nothing of use, has shown that it lives and how fast it is.
         """
-        if line is not None and line.spoilt:
+        if connection is not None and connection.spoilt:
             return "error"
         out = stream is None or (stream.done() and not stream.cancelled() and stream.exception() is None)
-        return kind if line is not None and asked and out and not line.writing_paused else "connect_failed"
+        if connection is None or not (asked and out) or connection.writing_paused:
+            return "connect_failed"
+        return kind
 
     @staticmethod
     def _let_go(stream: asyncio.Task[None]) -> bool:
@@ -209,19 +217,19 @@
             return not stream.cancel()
         return stream.cancelled() or stream.exception() is None
 
-    async def _connect(self, address: str, attempt: Attempt, limit: asyncio.Timeout) -> Line:
+    async def _connect(self, address: str, attempt: Attempt, limit: asyncio.Timeout) -> NodeConnection:
         """A new connection, within the time for one."""
         clock = attempt.runtime.clock
         stop_at = clock.loop_time(attempt.stop_at_us)
         limit.reschedule(min(stop_at, clock.loop_time(clock.now_us() + self.connect_us)))
-        line = await self.pool.open(address)
-        if line is None:
-            # refused early: nothing is wrong with the box, so this must not count against its health
+        connection = await self.pool.open(address)
+        if connection is None:
+            # refused early: nothing is wrong with the node, so this must not count against its health
             self.counts["no_room"] += 1
             raise BrokenError("full")
         self.counts["connected"] += 1
         limit.reschedule(stop_at)
-        return line
+        return connection
 
     async def _alone(self, attempt: Attempt) -> None:
         """Until no other attempt of the request can be at work any more.
@@ -237,15 +245,15 @@
                 return
             await asyncio.wait([closed])
 
-    async def _stream(self, line: Line, body: AsyncIterator[bytes], attempt: Attempt) -> None:
+    async def _stream(self, connection: NodeConnection, body: AsyncIterator[bytes], attempt: Attempt) -> None:
         """The rest of a body that passes through."""
         try:
             async for chunk in body:
-                await line.more(chunk)
-            await line.drained()
+                await connection.more(chunk)
+            await connection.drained()
             attempt.written_us = attempt.runtime.clock.now_us()
         except BaseException:
-            line.abort()  # with its last byte missing the box does not start it
+            connection.abort()  # with its last byte missing the node does not start it
             raise
 
     async def probe(self, node: str, target: str) -> api.OutcomeKind:
@@ -253,24 +261,24 @@
         address = self._find(node)
         if address is None:
             return "full"
-        line: Line | None = None
+        connection: NodeConnection | None = None
         try:
             async with asyncio.timeout(self.connect_us / 1_000_000):
-                line = self.pool.take(address)
-                if line is None:  # not "or": a line without a message is an empty queue, and false
-                    line = await self.pool.open(address)
-                if line is None:
+                connection = self.pool.take(address)
+                if connection is None:  # not "or": one without a message is an empty queue, and false
+                    connection = await self.pool.open(address)
+                if connection is None:
                     return "full"
-                line.ask(_head("GET", target, []), None)
-                message, content = await line.read()
+                connection.ask(_head("GET", target, []), None)
+                message, content = await connection.read()
                 await content.read()
         except TimeoutError:
             return "timeout"
         except (aiohttp.ClientError, HttpProcessingError, OSError):
-            return "reset" if line is not None else "connect_failed"
+            return "reset" if connection is not None else "connect_failed"
         finally:
-            if line is not None:
-                self.pool.put(line)
+            if connection is not None:
+                self.pool.put(connection)
         return "ok" if message.code == 200 else "error"
 
     async def relay(
@@ -284,7 +292,7 @@
                 if kind != "ok" or answer.content.at_eof():
                     return kind, Reply(answer.status, answer.headers, first)
                 answer.detached = True
-                rest = Remainder(answer.line, self.pool, answer.content, answer.content_length)
+                rest = Remainder(answer.connection, self.pool, answer.content, answer.content_length)
                 return kind, Reply(answer.status, answer.headers, first, rest)
         except BrokenError as end:
             return end.kind, None
--- a/harriertide/http/relay.py
+++ b/harriertide/http/relay.py
@@ -11,7 +11,8 @@
 
 from aiohttp.streams import StreamReader
 
-from harriertide.http.lines import Line, Pool
+from harriertide.http.node_connection import NodeConnection
+from harriertide.http.pool import Pool
 
 IDLE_S = 10.0  # without a byte from the one that sends, or one taken by the one that reads, a body is over
 
@@ -19,11 +20,13 @@
 class Remainder:
     """What is still to come of a node's answer, with the connection on which it comes."""
 
-    def __init__(self, line: Line, pool: Pool, content: StreamReader, length: int | None) -> None:
-        self._line: Line | None = line
+    def __init__(
+        self, connection: NodeConnection, pool: Pool, content: StreamReader, length: int | None
+    ) -> None:
+        self._connection: NodeConnection | None = connection
         self._pool, self._content = pool, content
         self.length = length  # of the whole answer; None: not said
-        line.pass_on()
+        connection.pass_on()
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """All that comes, to the end; raises as the connection does where it breaks."""
@@ -36,9 +39,9 @@
 
     def dispose(self) -> None:
         """Nothing more of it is wanted: the connection is kept only if it came whole."""
-        line, self._line = self._line, None
-        if line is not None:
-            self._pool.put(line)
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            self._pool.put(connection)
 
 
 class BodyBudget:
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -22,7 +22,7 @@
 from harriertide.core import events as ev
 from harriertide.engine.runtime import Attempt, Ending
 from harriertide.http.clients import ClientConnection, ConnectionTable, FrontServer
-from harriertide.http.lines import RELAY_READ, read_in_chunks
+from harriertide.http.node_connection import RELAY_READ, read_in_chunks
 from harriertide.http.nodes import NodeClient, Reply
 from harriertide.http.quiet import ended
 from harriertide.http.relay import IDLE_S, Remainder
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -269,7 +269,7 @@
         assert last is not None
         transport = last.writer.transport
         while transport.get_write_buffer_size() or any(
-            unread(line.transport) for line in self.daemon.client.pool.lines()
+            unread(each.transport) for each in self.daemon.client.pool.connections()
         ):
             await asyncio.sleep(0)
         end = transport.get_extra_info("socket")
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -13,7 +13,7 @@
 from harriertide.engine.clock import Clock
 from harriertide.engine.runtime import Attempt, Ending, Runtime
 from harriertide.http.limits import read_limits
-from harriertide.http.lines import Line
+from harriertide.http.node_connection import NodeConnection
 from harriertide.http.nodes import NodeClient
 from harriertide.lab import second_copy
 from tests.helpers import SETTINGS
@@ -76,7 +76,7 @@
 
     async def play(runtime: Runtime, client: NodeClient, box: Stand) -> None:
         line = await client.pool.open(client._find("n0") or "")
-        assert isinstance(line, Line)
+        assert isinstance(line, NodeConnection)
         line.ask(GET, None)
         await box.asked.get()
         end = box.lines[0].writer.transport.get_extra_info("socket")
@@ -93,7 +93,7 @@
     async def play(runtime: Runtime, client: NodeClient, box: Stand) -> None:
         runtime.core.step(runtime.clock.now_us(), [ev.Arrived(arrival(runtime))])
         line = await client.pool.open(client._find("n0") or "")
-        assert isinstance(line, Line)
+        assert isinstance(line, NodeConnection)
         line.ask(GET, None)
         client.pool.begin(line, "r")
         await box.asked.get()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,7 +9,7 @@
 import pytest
 
 from harriertide.http import clients, nodes, relay
-from harriertide.http.lines import RELAY_HELD
+from harriertide.http.node_connection import RELAY_HELD
 from harriertide.http.nodes import FIRST_BYTES
 from harriertide.platform import connection
 from harriertide.platform.connection import SMALL_BYTES
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,8 @@
 from harriertide.config import model
 from harriertide.decide.settings import from_wire, names_from_wire
 from harriertide.http import clients
-from harriertide.http.lines import Line, Pool
+from harriertide.http.node_connection import NodeConnection
+from harriertide.http.pool import Pool
 from harriertide.objects.catalogue import Catalogue
 from harriertide.platform import connection, discovery
 from harriertide.platform.configuration import Config
@@ -971,7 +972,7 @@
     """Decided before the drain was told, written after it: what the look at the moment of writing is for."""
     connect = Pool.open
 
-    async def slow(pool: Pool, address: str) -> Line | None:
+    async def slow(pool: Pool, address: str) -> NodeConnection | None:
         line = await connect(pool, address)
         await asyncio.sleep(0.15)
         return line
