Count connections that were accepted and not heard of when a process is superseded

The process in between says 'superseded ... connections=0' and counts clients.turned_away=2.

Cause: cli/replacement.py, _clients_kept: a superseded process goes by what it has, and 4 connections that may have been accepted in this turn. The loop tells a protocol of its connection two turns behind the accept, and accepts 4 in each of them, so up to 12 are on their way; the bound turned away those above 4, with their requests.

Change: the bound has room for three turns (IN_FLIGHT). Not taken: to raise it only for some time, as connections that are on their way count from then on anyway.

--- a/harriertide/cli/replacement.py
+++ b/harriertide/cli/replacement.py
@@ -15,7 +15,7 @@
 from harriertide.decide.rules import Scheduler
 from harriertide.engine.log import log
 from harriertide.http.limits import Limits
-from harriertide.http.listening import ACCEPTS
+from harriertide.http.listening import IN_FLIGHT
 from harriertide.lifecycle.record import Handover, RecordError, decode, encode
 from harriertide.lifecycle.succession import Succession
 from harriertide.lifecycle.upgrade import Hooks, Upgrade
@@ -127,8 +127,11 @@
         return self._daemon.config.limits
 
     def _clients_kept(self) -> int:
-        """Connections of clients, with those that were accepted in this turn of the loop."""
-        return len(self._daemon.clients) + ACCEPTS
+        """Connections of clients, with those that were accepted and are not heard of yet.
+
+        Guards against a bound that turns these away: they have sent their requests already.
+        """
+        return len(self._daemon.clients) + IN_FLIGHT
 
     def _nodes_kept(self) -> int:
         """Connections to nodes that a process finishes its requests with when another takes over."""
