Let a request have the room of a half-written one, however short that has been there

Seen in a new test with half of the room: behind some 40 connections that send half of a head and stay, requests on new connections are closed unread for half a second at a time.

Cause: http/clients.py, _make_room: a connection that is being read makes room only after 0.5 s; a crowd that says nothing makes it at once where the newcomer has sent something, a crowd that says half of a head does not.

Change: it does too, the oldest first, after all other ways.

--- a/harriertide/http/clients.py
+++ b/harriertide/http/clients.py
@@ -166,14 +166,15 @@
     def _make_room(self, asks: bool) -> bool:
         """Close the connection that is missed least. asks: a request is there on the one that needs the room.
 
-        Guards against a crowd that comes at once and says nothing: none of it has been silent for long.
+        Guards against a crowd that comes at once and says nothing, or half of a request: none of it has been
+        there for long.
         """
         ways: tuple[tuple[State, float], ...] = (
             ("lingering", 0.0), ("silent", 0.25), ("idle", SPARE_S), ("silent", 0.02), ("idle", 0.0),
             ("reading", 0.5),
         )  # fmt: skip
         if asks:
-            ways = (*ways, ("silent", 0.0))
+            ways = (*ways, ("silent", 0.0), ("reading", 0.0))
         return any(self._shed(state, age, 1, hurry=True) for state, age in ways)
 
     def _shed(self, state: State, age_s: float, most: int, hurry: bool = False) -> int:
