Measure how soon operators are answered; more upgrades on the rig, in modules of their own

lab operator-calls (make operator-calls): a broker under overload that shares its core with programs that never rest, its operators' address on the loop of its clients or, to compare, on a thread of its own. The bound is 1 s, so the shared loop stays: a thread would have its calls wait for a turn of that loop all the same where they change state.

Cases of upgrades: two a second apart, a third process, a long answer read over the whole of an upgrade.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo parity parity-sockets wheel bench-library probe-second-copy measure-limits play-processes consensus-check maintenance bench-maintenance upgrade drain
+.PHONY: build test lint run demo parity parity-sockets wheel bench-library probe-second-copy measure-limits play-processes consensus-check maintenance bench-maintenance upgrade drain operator-calls
 
 build: .venv/.dev
 
@@ -56,6 +56,11 @@
 drain: build
 	$(PYTHON) -m harriertide lab drains --runs $(RUNS) --seed $(SEED)
 
+# how soon operators are answered under overload at a quarter of a core, and by a thread of their own
+operator-calls: build
+	$(PYTHON) -m harriertide lab operator-calls --seed $(SEED)
+	$(PYTHON) -m harriertide lab operator-calls --seed $(SEED) --thread
+
 # one workload of each kind through daemon and library in virtual time; prints matched N differed 0
 parity: build
 	$(PYTHON) -m harriertide lab parity
--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -9,6 +9,7 @@
   drains         drains of a real broker under load
   limits         how much of a plan's limit heads use that lose messages and die
   maintenance    orders of work on real brokers and boxes, with drawn faults between them
+  operator-calls  how soon operators are answered under overload, on a part of a core
   parity         one workload through daemon and library; every decision compared
   processes      real brokers with faults between them, judged at the box by a plan's limit
   upgrades       upgrades in place of a real broker under load, with drawn faults
@@ -29,6 +30,7 @@
     "drains": "drains",
     "limits": "limits",
     "maintenance": "upkeep",
+    "operator-calls": "operator_calls",
     "parity": "parity",
     "processes": "processes",
     "second-copy": "second_copy",
--- a/harriertide/lab/drains.py
+++ b/harriertide/lab/drains.py
@@ -15,8 +15,6 @@
 from __future__ import annotations
 
 import asyncio
-import tempfile
-from contextlib import ExitStack
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -24,9 +22,10 @@
 from docopt import docopt
 
 from harriertide.engine.clock import until
+from harriertide.lab.folders import kept_or_temporary
 from harriertide.lab.processes import status_of
 from harriertide.lab.script import HOST
-from harriertide.lab.upgrade_judge import IDLE_S, LATE_REQUEST_S, REJOIN_S, Found, judge
+from harriertide.lab.upgrade_judge import IDLE_S, LATE_REQUEST_S, REJOIN_S, Found, conclude, judge
 from harriertide.lab.upgrade_world import Called, Process, World, call
 
 ASK_S, FURTHER_S = 0.1, 0.2  # the front's
@@ -120,12 +119,7 @@
 def main(arguments: list[str]) -> int:
     """Play and judge."""
     given: dict[str, Any] = docopt(__doc__ or "", arguments)
-    with ExitStack() as stack:
-        folder = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
+    with kept_or_temporary(given["--folder"]) as folder:
         asyncio.run(play(folder, int(given["--seed"]), int(given["--runs"])))
         found = judge(folder)
-    for what in found.failed[:10]:
-        print(f"failed: {what}")
-    print(report(found, int(given["--runs"])))
-    return int(found.broken)
+    return conclude(found, report(found, int(given["--runs"])))
--- a/harriertide/lab/processes.py
+++ b/harriertide/lab/processes.py
@@ -26,10 +26,9 @@
 import signal
 import socket
 import sys
-import tempfile
 from collections import Counter
 from collections.abc import Callable
-from contextlib import ExitStack, suppress
+from contextlib import suppress
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
@@ -39,6 +38,7 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.engine.clock import until
+from harriertide.lab.folders import kept_or_temporary
 from harriertide.lab.script import HOST, Fault, load, ports
 
 LIMIT, BURST, MOST, SLACK = 20.0, 24.0, 3, 6.0
@@ -438,9 +438,7 @@
         raise PlainError("--brokers from 2 to 8, --seconds from 6 to 600")
     drawn = draw(seed, brokers, seconds, float(given["--lost"]))
     faults = load(given["--script"], brokers, VERBS) if given["--script"] else drawn
-    with ExitStack() as stack:
-        folder = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
+    with kept_or_temporary(given["--folder"]) as folder:
         rows = [asdict(fault) for fault in faults]
         (folder / "script.json").write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
         asyncio.run(course(folder, brokers, seconds, seed, faults))
--- /dev/null
+++ b/harriertide/lab/rig_clients.py
@@ -0,0 +1,179 @@
+"""Clients of a broker on the rig: an open loop of requests on connections that are kept."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+from random import Random
+
+from harriertide.engine.clock import until
+from harriertide.lab.rig_nodes import LONG_BYTES, Logs
+
+SLOW_STEPS = 64  # parts in which a slow client reads a long answer
+PLANS = ("free", "capped")
+DEADLINE_MS = 1500
+ANSWER_S = 8.0  # for an answer to come
+
+
+class Ended(Exception):  # noqa: N818
+    """A connection ended. begun: some of an answer had come."""
+
+    def __init__(self, begun: bool) -> None:
+        super().__init__()
+        self.begun = begun
+
+
+@dataclass(eq=False)
+class Connection:
+    """A client's connection, kept between requests."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    used: bool = False
+
+    async def ask(self, request: bytes) -> tuple[int, bool]:
+        """One request: the status of its whole answer, and whether the connection is kept."""
+        begun = False
+        try:
+            self.writer.write(request)
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode().lower()
+            begun = True
+            size = int(head.partition("content-length: ")[2].partition("\r\n")[0])
+            while size > 0:
+                part = await self.reader.read(min(size, 1 << 18))
+                if not part:
+                    raise Ended(begun)
+                size -= len(part)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            raise Ended(begun) from None
+        self.used = True
+        return int(head.split(" ", 2)[1]), "connection: close" not in head
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a client asks for."""
+
+    key: int
+    plan: str
+    units: int
+    shard: int
+    long: bool
+
+    def request_id(self, attempt: int) -> str:
+        """A repeat is a request of its own: a process that was killed may have sent on the first."""
+        return f"r{self.key}" if attempt == 0 else f"r{self.key}-repeat"
+
+    def encode(self, attempt: int) -> bytes:
+        """The request's bytes."""
+        long = "X-Long: 1\r\n" if self.long else ""
+        return (
+            f"GET /api?key={self.key:016x} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.request_id(attempt)}\r\n"
+            f"X-Call-Class: read\r\nX-Storage-Class: {self.plan}\r\n"
+            f"X-Budget-Ms: {DEADLINE_MS}\r\n{long}"
+            f"X-Extent: volume={7:016x},units={self.units},shard={self.shard},hosts=1\r\n\r\n"
+        ).encode()
+
+
+class Clients:
+    """Open-loop clients that keep connections, as many as they need."""
+
+    def __init__(self, address: tuple[str, int], random: Random, logs: Logs) -> None:
+        self._address, self._random, self._logs = address, random, logs
+        self.idle: list[Connection] = []
+        self.made = 0
+        self.rate = 120.0  # requests a second
+        self.long_part = 0.02
+        self.sent_here = True  # the front sends new connections; else only kept ones are used
+        self.at_work: dict[Connection, float] = {}  # since when
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def offer(self, stop: asyncio.Event) -> None:
+        """Ask, until told to stop; then wait for all answers."""
+        loop = asyncio.get_running_loop()
+        while not stop.is_set():
+            await until(loop.time() + self._random.expovariate(self.rate))
+            if not (self.sent_here or self.idle):
+                continue  # the front sends it to another broker
+            task = loop.create_task(self._one())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+        for connection in self.idle:
+            connection.writer.transport.abort()
+
+    def _draw(self) -> Wanted:
+        self.made += 1
+        random = self._random
+        return Wanted(
+            key=self.made,
+            plan=random.choice(PLANS),
+            units=random.randint(1, 3),
+            shard=random.randrange(3),
+            long=random.random() < self.long_part,
+        )
+
+    async def _one(self) -> None:
+        """Ask; once more on a new connection, where a kept one was closed before an answer began."""
+        wanted = self._draw()
+        self.idle = [each for each in self.idle if not each.reader.at_eof()]
+        if not self.idle:
+            await self._attempt(wanted, 0, None)
+        elif not await self._attempt(wanted, 0, self.idle.pop()):
+            await self._attempt(wanted, 1, None)
+
+    async def _attempt(self, wanted: Wanted, attempt: int, kept: Connection | None) -> bool:
+        """Ask on a kept connection, or on a new one; False where the kept one was closed first."""
+        request = wanted.request_id(attempt)
+        self._logs.write("clients", "asked", request=request)
+        connection = kept
+        try:
+            connection = kept or await self._connect()
+            self.at_work[connection] = asyncio.get_running_loop().time()
+            async with asyncio.timeout(ANSWER_S):
+                status, keep = await connection.ask(wanted.encode(attempt))
+        except Ended as end:
+            if kept is not None and not end.begun:
+                self._logs.write("clients", "crossed", request=request)
+                return False
+            self._logs.write("clients", "ended", request=request, begun=end.begun)
+            return True
+        except (OSError, TimeoutError):
+            self._logs.write("clients", "ended", request=request, begun=False)
+            return True
+        finally:
+            if connection is not None:
+                self.at_work.pop(connection, None)
+        self._logs.write("clients", "told", request=request, status=status)
+        if keep:
+            self.idle.append(connection)
+        else:
+            connection.writer.close()
+        return True
+
+    async def read_slowly(self, over_s: float) -> bool:
+        """Ask for a long answer and read it over this time: whether it came whole."""
+        loop, wanted = asyncio.get_running_loop(), replace(self._draw(), long=True)
+        request, left = wanted.request_id(0), LONG_BYTES
+        self._logs.write("clients", "asked", request=request)
+        connection = await self._connect()
+        connection.writer.write(wanted.encode(0))
+        status = int((await connection.reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+        while status == 200 and left > 0 and (part := await connection.reader.read(LONG_BYTES // SLOW_STEPS)):
+            left -= len(part)
+            await until(loop.time() + over_s / SLOW_STEPS)
+        connection.writer.close()
+        if status == 200 and left > 0:
+            self._logs.write("clients", "ended", request=request, begun=True)
+            return False
+        self._logs.write("clients", "told", request=request, status=status)
+        return True
+
+    def still_open(self, late_s: float) -> tuple[int, int]:
+        """Connections that rest and were not ended, and those that carry a request younger than that."""
+        now = asyncio.get_running_loop().time()
+        resting = sum(not connection.reader.at_eof() for connection in self.idle)
+        return resting, sum(now - since < late_s for since in self.at_work.values())
+
+    async def _connect(self) -> Connection:
+        return Connection(*await asyncio.open_connection(*self._address))
--- /dev/null
+++ b/harriertide/lab/rig_nodes.py
@@ -0,0 +1,146 @@
+"""Stand-ins of a platform: storage nodes and discovery, and the logs of what happens to them.
+
+All that happens is written to logs as it happens: clients.log, nodes.log and platform.log, one JSON object a
+line. What judges reads these files and nothing else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import IO, Any
+
+from harriertide.engine.clock import until
+from harriertide.lab.script import HOST
+
+SERVICE_S = 0.008
+LONG_BYTES = 4 << 20  # of a long answer
+
+
+class Logs:
+    """What happened, by file."""
+
+    def __init__(self, folder: Path) -> None:
+        self._files: dict[str, IO[str]] = {}
+        for name in ("clients", "nodes", "platform"):
+            self._files[name] = (folder / f"{name}.log").open("w", encoding="utf-8")
+        self._begun = asyncio.get_running_loop().time()
+
+    def write(self, name: str, event: str, **row: Any) -> None:
+        """A line of a log, with its time."""
+        row = {"at_s": round(asyncio.get_running_loop().time() - self._begun, 6), "event": event, **row}
+        self._files[name].write(json.dumps(row) + "\n")
+
+    def close(self) -> None:
+        """All is written."""
+        for file in self._files.values():
+            file.close()
+
+
+@dataclass
+class Node:
+    """A storage node with one shard."""
+
+    name: str
+    shard: int
+    logs: Logs
+    started_us: int = 0
+    health: str = "up"
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+
+    def entry(self) -> dict[str, Any]:
+        """As discovery's list has it."""
+        assert self.server is not None
+        port = self.server.sockets[0].getsockname()[1]
+        return {
+            "host": self.name, "dial": f"{HOST}:{port}", "block": self.shard, "health": self.health,
+            "born_ms": self.started_us // 1000,
+        }  # fmt: skip
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(row.lower().split(": ", 1) for row in head.split("\r\n")[1:-2])
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                await self._answer(fields, writer)
+        writer.transport.abort()
+
+    async def _answer(self, fields: dict[str, str], writer: asyncio.StreamWriter) -> None:
+        request, extent = fields["x-call-id"], fields["x-extent"]
+        units = float(extent.partition("units=")[2].partition(",")[0])
+        row = {"request": request, "node": self.name}
+        plan = fields["x-storage-class"]
+        self.logs.write("nodes", "came", **row, units=units, plan=plan, health=self.health)
+        await until(asyncio.get_running_loop().time() + SERVICE_S)
+        self.logs.write("nodes", "answered", **row)
+        size = LONG_BYTES if "x-long" in fields else 2
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        for _ in range(max(1, size // 65_536)):
+            writer.write(b"k" * min(size, 65_536))
+            await writer.drain()
+
+
+class Discovery:
+    """Pushes the list; while it is dark it hangs up on all."""
+
+    def __init__(self, nodes: list[Node], logs: Logs) -> None:
+        self._nodes, self._logs, self._seq = nodes, logs, 1
+        self._watches: set[asyncio.StreamWriter] = set()
+        self.dark = False
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+
+    @property
+    def address(self) -> str:
+        """Where."""
+        return f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+
+    def whole(self) -> dict[str, Any]:
+        """The list by now."""
+        return {"seq": self._seq, "whole": True, "hosts": [node.entry() for node in self._nodes]}
+
+    def change(self) -> None:
+        """Tell all watches."""
+        self._seq += 1
+        for node in self._nodes:
+            row = {"node": node.name, "health": node.health, "started_us": node.started_us}
+            self._logs.write("platform", "listed", **row)
+        for watch in list(self._watches):
+            self._tell(watch)
+
+    def go_dark(self, dark: bool) -> None:
+        """Away, or back."""
+        self.dark = dark
+        for watch in list(self._watches) if dark else ():
+            watch.transport.abort()
+
+    def _tell(self, watch: asyncio.StreamWriter) -> None:
+        self._chunk(watch, json.dumps(self.whole()).encode() + b"\n")
+
+    @staticmethod
+    def _chunk(watch: asyncio.StreamWriter, data: bytes) -> None:
+        if not watch.is_closing():
+            watch.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await reader.readuntil(b"\r\n\r\n")
+            if not self.dark:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self._watches.add(writer)
+                self._tell(writer)
+                while not writer.is_closing():
+                    await until(asyncio.get_running_loop().time() + 1.0)
+                    self._chunk(writer, b"\n")
+        self._watches.discard(writer)
+        writer.transport.abort()
--- a/harriertide/lab/upgrade_judge.py
+++ b/harriertide/lab/upgrade_judge.py
@@ -22,6 +22,7 @@
 REJOIN_S = 2.0
 CALL_S = 1.0  # for an answer to an operator
 FALL_MULTIPLE = 2.5
+FAILED_SHOWN = 10
 
 
 @dataclass
@@ -54,6 +55,14 @@
         return sorted(self.ready_s)[int(0.99 * len(self.ready_s))] if self.ready_s else 0.0
 
 
+def conclude(found: Found, line: str) -> int:
+    """Print what was found: the exit status of a rig."""
+    for what in found.failed[:FAILED_SHOWN]:
+        print(f"failed: {what}")
+    print(line)
+    return int(found.broken)
+
+
 def rows(path: Path) -> Iterator[dict[str, Any]]:
     """The rows of a log."""
     for line in path.read_text(encoding="utf-8").splitlines():
--- a/harriertide/lab/upgrades.py
+++ b/harriertide/lab/upgrades.py
@@ -16,9 +16,7 @@
 
 import asyncio
 import signal
-import tempfile
 from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -27,10 +25,13 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.engine.clock import until
-from harriertide.lab.upgrade_judge import Found, judge
+from harriertide.lab.folders import kept_or_temporary
+from harriertide.lab.upgrade_judge import Found, conclude, judge
 from harriertide.lab.upgrade_world import COLD_S, Process, World, call
 
 SETTLE_S = 0.3  # of load between upgrades
+APART_S = 1.0  # between two upgrades in a row
+READING_S = 1.6  # for a client to read a long answer
 BUSY_RATE, FEW_RATE = 400.0, 30.0
 
 
@@ -137,6 +138,42 @@
         await self.world.ended(both[1 - last])
         self.serving = both[last]
 
+    async def one_second_apart(self) -> None:
+        """The next upgrade begins while the process before the last may still finish what it has."""
+        oldest, self.serving = self.serving, await self.world.launch()
+        if await self.world.ready(self.serving) < 0:
+            self.failed("the first of two new processes did not get ready")
+            return
+        oldest.signal(signal.SIGTERM)
+        await self.pause(APART_S)
+        await self.replace()
+        if not await self.world.ended(oldest):
+            self.failed("the oldest of three processes did not end")
+
+    async def third_process(self) -> None:
+        """Three live at once, as nobody has told the first two to end."""
+        older = [self.serving]
+        for _ in range(2):
+            self.serving = await self.world.launch()
+            if await self.world.ready(self.serving) < 0:
+                self.failed("a new process did not get ready beside others")
+                return
+            older.append(self.serving)
+        older.pop()
+        for process in older:
+            process.signal(signal.SIGTERM)
+        for process in older:
+            if not await self.world.ended(process) or process.handle.returncode != 0:
+                self.failed(f"an older process ended with {process.handle.returncode}")
+
+    async def long_answer(self) -> None:
+        """A client reads a long answer of the old process over the whole of the upgrade."""
+        reading = asyncio.create_task(self.world.clients.read_slowly(READING_S))
+        await self.pause(SETTLE_S)
+        await self.replace()
+        if not await reading:
+            self.failed("a long answer on its way was cut off")
+
     async def paused(self) -> None:
         """The old one stands still, is taken over from, and comes back. Few come meanwhile: all wait."""
         rate, self.world.clients.rate = self.world.clients.rate, FEW_RATE
@@ -203,6 +240,9 @@
     "old-dies": Course.old_dies_meanwhile,
     "told-early": Course.told_to_end_early,
     "two-at-once": Course.two_at_once,
+    "one-second-apart": Course.one_second_apart,
+    "third-process": Course.third_process,
+    "long-answer": Course.long_answer,
     "paused": Course.paused,
     "busy": Course.busy,
     "in-a-drain": Course.in_a_drain,
@@ -258,13 +298,8 @@
     names = given["--cases"].split(",") if given["--cases"] else list(CASES)
     if unknown := set(names) - set(CASES):
         raise PlainError(f"--cases: {', '.join(sorted(unknown))}: there is {', '.join(CASES)}")
-    with ExitStack() as stack:
-        folder = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
+    with kept_or_temporary(given["--folder"]) as folder:
         cases = draw(int(given["--seed"]), int(given["--runs"]), names)
         asyncio.run(play(folder, int(given["--seed"]), cases))
         found = judge(folder)
-    for what in found.failed[:10]:
-        print(f"failed: {what}")
-    print(report(found, len(cases)))
-    return int(found.broken)
+    return conclude(found, report(found, len(cases)))
--- a/harriertide/lab/upkeep.py
+++ b/harriertide/lab/upkeep.py
@@ -23,10 +23,9 @@
 import asyncio
 import json
 import sys
-import tempfile
 import time
 from collections import defaultdict
-from contextlib import ExitStack, suppress
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -36,6 +35,7 @@
 
 from harriertide.decide.settings import PlainError
 from harriertide.engine.clock import until
+from harriertide.lab.folders import kept_or_temporary
 from harriertide.lab.rig import VERBS, Rig, draw
 from harriertide.lab.script import Fault, load
 
@@ -294,8 +294,7 @@
     if brokers not in (3, 5, 7) or not 2 <= boxes <= 24 or not 1 <= seconds <= 600:
         raise PlainError("--brokers 3, 5 or 7; --boxes from 2 to 24; --seconds from 1 to 600")
     total = Verdict()
-    with ExitStack() as stack:
-        kept = Path(given["--folder"] or stack.enter_context(tempfile.TemporaryDirectory()))
+    with kept_or_temporary(given["--folder"]) as kept:
         for number in range(seed, seed + runs):
             script = given["--script"]
             faults = load(script, brokers, VERBS) if script else draw(number, brokers, seconds)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -10,16 +10,20 @@
 import pytest
 
 from harriertide.decide.settings import PlainError
-from harriertide.lab import drains, upgrades
+from harriertide.lab import drains, operator_calls, upgrades
+from harriertide.lab.rig_clients import Wanted
 from harriertide.lab.upgrade_judge import IDLE_S, Found, judge
-from harriertide.lab.upgrade_world import BURST, COLD_UNITS, Wanted
+from harriertide.lab.upgrade_world import BURST, COLD_UNITS, Called
 
 COURSES = {
     "replaced, in a drain, from a bad configuration": ["plain", "in-a-drain", "bad-configuration"],
     "processes that die": ["new-dies", "new-dies-after", "old-dies"],
     "a drain told with discovery dark, and two at once": ["draining-node", "two-at-once"],
     "told to end early, and one that stands still": ["told-early", "paused"],
-}
+    "two in a row, three at once, and a long answer on its way": [
+        "one-second-apart", "third-process", "long-answer",
+    ],
+}  # fmt: skip
 
 
 @pytest.mark.parametrize("cases", COURSES.values(), ids=COURSES.keys())
@@ -37,6 +41,17 @@
     assert found.requests > 100
 
 
+@pytest.mark.parametrize("program", ["harriertide", operator_calls.THREADED])
+def test_operators_are_answered_by_a_broker_that_shares_its_core(program: str, tmp_path: Path) -> None:
+    measured = asyncio.run(operator_calls.play(tmp_path, 1, calls=5, rate=200, busy=1, program=program))
+    assert len(measured.calls) == 5 and measured.late == 0
+
+
+def test_late_and_unanswered_calls_are_counted() -> None:
+    measured = operator_calls.Measured([Called(200, "", 0.1), Called(200, "", 1.1), Called(0, "", 0.1)])
+    assert measured.late == 2 and measured.milliseconds(0.5) == 100 and measured.milliseconds(1.0) == 1100
+
+
 def test_cases_are_drawn_alike_from_one_seed_and_each_is_played() -> None:
     names = list(upgrades.CASES)
     assert upgrades.draw(3, 50, names) == upgrades.draw(3, 50, names)
