--- a/Makefile
+++ b/Makefile
@@ -48,13 +48,15 @@
 play-processes: build
 	for seed in 1 2 3 4; do $(PYTHON) -m harriertide lab processes --seed $$seed || exit 1; done
 
-# upgrades in place of a real broker under load, with drawn faults: docs/measurements/operations.md
+# upgrades in place of a real broker under load, with drawn faults: docs/measurements/operations.md; logs stay
 upgrade: build
-	$(PYTHON) -m harriertide lab upgrades --runs $(RUNS) --seed $(SEED)
+	rm -rf build/upgrades
+	$(PYTHON) -m harriertide lab upgrades --runs $(RUNS) --seed $(SEED) --folder build/upgrades
 
 # drains of a real broker under load
 drain: build
-	$(PYTHON) -m harriertide lab drains --runs $(RUNS) --seed $(SEED)
+	rm -rf build/drains
+	$(PYTHON) -m harriertide lab drains --runs $(RUNS) --seed $(SEED) --folder build/drains
 
 # how soon operators are answered under overload at a quarter of a core, and by a thread of their own
 operator-calls: build
