Never send a new object that is moot to where an older one of its key lies

Cause: state.py, Placements.elsewhere, took any request with a known key; a write of a new object (shard -1) that its node called moot went to the shard of the object that had its key before, and its place was not kept then. It is refused at once now, as before placements. The test fails without the change.

Also: a comment that a rename had spoilt (empty line), and one on outcome kinds that stood beside its line's end.

--- a/harriertide/decide/api.py
+++ b/harriertide/decide/api.py
@@ -158,9 +158,8 @@
 OutcomeKind: TypeAlias = Literal[
     "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"
 ]
-NO_LIFE: frozenset[OutcomeKind] = frozenset(
-    {"timeout", "connect_failed", "reset"}
-)  # no sign of life of the node
+# Kinds that show no sign of life of the node, and those that prove that the attempt never ran.
+NO_LIFE: frozenset[OutcomeKind] = frozenset({"timeout", "connect_failed", "reset"})
 NEVER_RAN: frozenset[OutcomeKind] = frozenset({"full", "connect_failed", "moot"})
 
 
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -168,7 +168,9 @@
             del self.rows[next(iter(self.rows))]
 
     def elsewhere(self, arrival: api.Arrival) -> api.Arrival | None:
-        """The same request to the shard that took its object; None: the one named, or not known."""
+        """The same request to the shard that took its object; None: the one named, none, or not known."""
+        if arrival.shard < 0:  # a new object, whatever became of one that had its key
+            return None
         shard, _ = self.rows.get(arrival.key, (arrival.shard, 0))
         return replace(arrival, shard=shard) if shard != arrival.shard else None
 
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -30,7 +30,7 @@
 RELAY_HELD = 4 * RELAY_READ  # and in memory at most, but for some moments, on both sides of the broker
 STALL_S = 0.06
 _EOF_LINES = frozenset((204, 304))
-END_OF_CHUNKS = b"\r\n\r\n"  # the empty connection behind the last chunk, or behind its trailers
+END_OF_CHUNKS = b"\r\n\r\n"  # the empty line behind the last chunk, or behind its trailers
 
 
 def read_in_chunks(transport: asyncio.BaseTransport) -> None:
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -52,6 +52,14 @@
     assert refusals(done) and not sends(done)
 
 
+def test_a_new_object_that_is_moot_is_not_sent_where_an_older_one_of_its_key_lies() -> None:
+    head = Head(NODES)
+    place(head)
+    (first,) = sends(head.ask(1, shard=-1, key="k"))
+    done = head.end(first.request, "moot", node=first.node)
+    assert refusals(done) and not sends(done)
+
+
 def test_moot_where_the_object_lies_is_refused_at_once() -> None:
     head = Head(NODES)
     holder = place(head).node
