Write down when the rig itself stands still

A judge's times are those at which the rig reads, so a rig that stands still for some 0.3 s beside a full store would count what came meanwhile as a burst. Checked: tests/test_operations.py, 31 passed; three upgrades without a stall.

--- a/harriertide/lab/upgrade_world.py
+++ b/harriertide/lab/upgrade_world.py
@@ -29,6 +29,8 @@
 AIM_MS = 300
 READY_S, END_S = 10.0, 8.0  # for a process to say yes, and to end
 STEP_S = 0.01
+BEAT_S = 0.02  # between looks whether the rig's own loop stands still
+STALL_S = 0.1  # from which on that is written down: what nodes log has come up to so much earlier
 
 
 def settings() -> dict[str, Any]:
@@ -120,6 +122,16 @@
         self.peer_port = ports(1, socket.SOCK_DGRAM)[0]
         self.clients = Clients(self.address, self.random, self.logs)
         (self.folder / "tmp").mkdir(exist_ok=True)
+        self._watch = asyncio.create_task(self._watch_stalls())
+
+    async def _watch_stalls(self) -> None:
+        """Write down when the rig itself stood still: a judge's times are those at which it reads."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + BEAT_S
+            await until(due)
+            if loop.time() > due + STALL_S:
+                self.logs.write("platform", "stalled", took_s=loop.time() - due)
 
     @staticmethod
     def unix_us() -> int:
@@ -174,6 +186,7 @@
 
     async def close(self) -> None:
         """End what was started, and nothing else."""
+        self._watch.cancel()
         for process in self.processes:
             process.signal(signal.SIGCONT)
             process.kill()
