Set a newer process back to the clock that it goes by: limits filled ahead of time

Cause of such a burst, found by reading: a newer process starts on the wall's clock and then adopts its predecessor's (replacement.py, _import). Where its own was ahead (up to a second is let pass), its scheduler kept the later time (rules.py, decide: max of both), and the stores it took over filled by the difference at once: 0.8 s at 10 units a second let a request through 10 ms behind a spent store.

Change: handover.import_state sets the scheduler's time, its start, its round and what it has put off back first. Measured: the test fails without it with the newer clock 0.8 s ahead, and holds at 0 and 0.8 s behind.

--- a/harriertide/cli/replacement.py
+++ b/harriertide/cli/replacement.py
@@ -84,7 +84,7 @@
         daemon.runtime.flush()
         clock.adopt(record.monotonic_s, record.unix_us)
         if isinstance(scheduler, Scheduler):
-            handover.import_state(scheduler, record.decisions)
+            handover.import_state(scheduler, record.decisions, clock.now_us())
         log("in charge", epoch=self.upgrade.epoch, shards=len(record.decisions.shards))
 
     # --- hooks ---------------------------------------------------------------------------------
--- a/harriertide/decide/handover.py
+++ b/harriertide/decide/handover.py
@@ -117,8 +117,27 @@
     )
 
 
-def import_state(scheduler: Scheduler, state: DecisionState) -> None:
-    """Have a scheduler that has the list of nodes, and no requests yet, go on from there."""
+def _set_back(scheduler: Scheduler, now_us: int) -> None:
+    """Have a scheduler that ran on a clock ahead of this one go by this one.
+
+    Guards against time that has passed for it alone: stores would fill in it that another process has spent.
+    """
+    ahead_us = scheduler._now - now_us
+    if ahead_us <= 0:
+        return
+    scheduler._now -= ahead_us
+    scheduler._started -= ahead_us
+    scheduler._round_us -= ahead_us
+    scheduler._round_end -= ahead_us
+    scheduler._later = [(when_us - ahead_us, count, what) for when_us, count, what in scheduler._later]
+
+
+def import_state(scheduler: Scheduler, state: DecisionState, now_us: int) -> None:
+    """Have a scheduler that has the list of nodes, and no requests yet, go on from there.
+
+    now_us: by the clock of the process before, which this one goes by from now on.
+    """
+    _set_back(scheduler, now_us)
     for node_state in state.nodes:
         node = scheduler._nodes.get(node_state.id)
         if node is not None and node.started_us == node_state.started_us:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -278,7 +278,7 @@
     state = record.decode(
         record.encode(replace(EMPTY, decisions=handover.export_state(keeper))), "n", 2, 100.0
     ).decisions
-    handover.import_state(taker, state)
+    handover.import_state(taker, state, new.now)
     there, shard = taker._nodes["n0"], taker._cells[node.shard]
     assert there.given == node.given and there.silent and there.proof == 4.0
     assert (shard.capacity, shard.learned, shard.pressed) == (42.0, True, True)
@@ -288,6 +288,20 @@
     assert new.ask(shard=node.shard) is not None  # and it goes on deciding
 
 
+@pytest.mark.parametrize("ahead_us", [-800_000, 0, 800_000])
+def test_a_limit_does_not_fill_by_the_difference_of_two_clocks(ahead_us: int) -> None:
+    """One broker, limit 10 units a second. Its store is spent as the newer process goes on with it."""
+    old, new = Head(heads=1), Head(heads=1)
+    while sends(old.ask(plan=1, shard=0)):
+        old.end(f"r{old.made}", after_us=0)
+    new.do(api.Woke(0), after_us=old.now + ahead_us - new.now if old.now + ahead_us > new.now else 0)
+    handover.import_state(new.scheduler, handover.export_state(old.scheduler), old.now)
+    new.now = old.now + 10_000
+    assert not sends(new.ask(plan=1, shard=0))
+    new.now = old.now + 1_000_000
+    assert sends(new.ask(plan=1, shard=0))
+
+
 def test_a_superseded_process_gives_out_no_limit_and_nothing_of_cold_nodes() -> None:
     cold = api.NodeEntry("n0", 0, started_us=START_US - 1_000_000)
     head = Head((cold, api.NodeEntry("n1", 1)))
