--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -74,6 +74,17 @@
     assert rejections(actions) and not started_attempts(actions)
 
 
+@pytest.mark.parametrize("request_class", [1, 2], ids=["keyed", "non-idempotent"])
+def test_a_write_that_its_node_drops_unsent_goes_to_no_other_shard(request_class: int) -> None:
+    """Guards against a write that takes effect in a shard which its client does not name."""
+    broker = BrokerUnderTest(TWO_NODES)
+    holder = write_new_object(broker).node_id
+    named = SHARD_OF_NODE[other_node(holder)]
+    (first,) = started_attempts(broker.request(request_class, shard=named, key="k"))
+    actions = broker.finish_attempt(first.request_id, "not_sent", node=first.node_id)
+    assert rejections(actions) and not started_attempts(actions)
+
+
 @pytest.mark.parametrize("key", ["", "another"])
 def test_a_dropped_read_of_an_unknown_object_is_rejected_at_once(key: str) -> None:
     broker = BrokerUnderTest(TWO_NODES)
