Measure a warming node only by answers to attempts sent after its start

Callers: a broker can send a warming node more than it bears; it collapses, and what it had fails.

Cause: decide/slow_start.py, record_answer: an answer counts as a measure if its node warms up now. One that the earlier process gave, read after the news of the restart, showed what a warm node does and lifted the new one's budget.

--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -43,7 +43,7 @@
 from harriertide.decide.responses import Responses
 from harriertide.decide.retry import RetryBudget, may_attempt
 from harriertide.decide.slow_start import SlowStart
-from harriertide.decide.state import NodeState, RequestState, ShardState
+from harriertide.decide.state import NodeState, OpenAttempt, RequestState, ShardState
 from harriertide.decide.warming import assume_all_granted
 
 # An attempt that ended so may still run at its node: the next of its key waits.
@@ -270,7 +270,7 @@
         self.capacity.record_outcome(request, shard, outcome.kind)
         if outcome.kind == "ok":
             self.health.cancel_hung_attempts(node, attempt.sent_at_us)
-            self._record_answer(request, shard, node, outcome.latency_us)
+            self._record_answer(request, shard, attempt, outcome.latency_us)
         if outcome.is_final or request.is_answered:
             self.responses.close(request)
         else:
@@ -283,14 +283,15 @@
         node.overtaking_answers.pop(request, None)
 
     def _record_answer(
-        self, request: RequestState, shard: ShardState, node: NodeState, latency_us: int
+        self, request: RequestState, shard: ShardState, attempt: OpenAttempt, latency_us: int
     ) -> None:
         """A node has served a request."""
         arrival = request.arrival
+        node = attempt.node
         shard.served_units += arrival.units
         if arrival.shard < 0 and request.executed_on is node:  # the first that may have taken the object
             self.placements.put(arrival.key, node.shard, self.context.now_us)
-        self.slow_start.record_answer(node, arrival.units, latency_us)
+        self.slow_start.record_answer(attempt, arrival.units, latency_us)
         self.latency.record(node, arrival.request_class, latency_us)
 
     def _attempt_again(self, request: RequestState, shard: ShardState, kind: api.OutcomeKind) -> None:
--- a/harriertide/decide/slow_start.py
+++ b/harriertide/decide/slow_start.py
@@ -19,7 +19,7 @@
     SlowStartRequest,
 )
 from harriertide.decide.quota_credit import CREDIT_LIFETIME_US
-from harriertide.decide.state import GrantedUnits, NodeState
+from harriertide.decide.state import GrantedUnits, NodeState, OpenAttempt
 from harriertide.decide.warming import is_warming, slow_start_budget_units
 
 # Answers to so many of the largest requests show what a warming node can do by now; older ones count half.
@@ -69,9 +69,14 @@
         """A request is sent to a warming node."""
         node.slow_start_credit.spend(units)
 
-    def record_answer(self, node: NodeState, units: float, took_us: int) -> None:
-        """A node has answered; while it warms up, that measures what it can do."""
-        if is_warming(self._context, node):
+    def record_answer(self, attempt: OpenAttempt, units: float, took_us: int) -> None:
+        """A node has answered an attempt; while it warms up, that measures what it can do.
+
+        Guards against an answer that is read after the news of a restart: it shows what the earlier process
+        could do, and with it as a measure brokers would make the new one collapse.
+        """
+        node = attempt.node
+        if is_warming(self._context, node) and attempt.sent_at_us >= node.started_us:
             node.answered_units += units
             node.answered_us += took_us
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -58,6 +58,17 @@
     assert node.measured_units == node.answered_units == 0  # what it did before the restart proves nothing
 
 
+def test_an_answer_to_an_attempt_sent_before_a_node_restarted_proves_nothing() -> None:
+    """Guards against what the process before could do, read after the news of the restart, as a measure."""
+    broker = BrokerUnderTest()
+    (attempt,) = started_attempts(broker.request(units=8.0))
+    restarted = api.NodeEntry("n0", 0, "live", 0, broker.now_us + 5_000)
+    broker.handle(api.EndpointUpdate("delta", (restarted,)), after_us=10_000)
+    broker.finish_attempt(attempt.request_id, "ok", after_us=1_000)
+    node = broker.scheduler.endpoints.nodes["n0"]
+    assert node.answered_units == 0 and node.answered_us == 0
+
+
 def test_a_few_quick_answers_prove_little() -> None:
     """A node that has just started answers a few reads quickly, from data that it still remembered. They
     cost it less than others, and do not prove what it bears.
