Give each rig that shares a core with busy programs a core of its own

By schedstat, a call of 1.96 s beside 48 busy programs on the core: the broker ran 0.035 s and waited 1.96 s; beside 24 the first call is the slowest (0.45 s, then 0.05 to 0.09 s). So nothing ran on the loop for so long. Ruled out: the loop's own work (38 ms at most), the rig's loop (it waited 2 ms at most), a SYN sent again (the queue holds 512).

Change: a rig reserves a core by a lock on a file (lab/rigs/processor.py), and waits where all are taken. Each call is logged with what the broker ran and waited meanwhile, and a failing test prints that log. The bound of 1 s, the rate and the busy program are as before.

--- a/harriertide/lab/benchmarks/operator_calls.py
+++ b/harriertide/lab/benchmarks/operator_calls.py
@@ -2,9 +2,10 @@
 
 Usage: operator-calls [--calls N] [--rate N] [--busy N] [--seed N] [--thread] [--folder DIR]
 
-The broker is held to one core, which it shares with programs that never rest. Clients ask for more than it
-can do, and callers that send nothing stay connected to the operators' address. Exits with 1 where a call took
-longer than a second or had no answer.
+The broker is held to one core, which it shares with programs that never rest, and with no other rig. Clients
+ask for more than it can do, and callers that send nothing stay connected to the operators' address. Exits
+with 1 where a call took longer than a second or had no answer; each call is logged with how long the broker
+ran and how long it waited for its core meanwhile.
 
 Options:
   --calls N     calls of an operator, CALL_INTERVAL_S apart [default: 100]
@@ -31,7 +32,8 @@
 from harriertide.engine.clock import until
 from harriertide.lab.rigs.fault_script import HOST
 from harriertide.lab.rigs.folders import kept_or_temporary
-from harriertide.lab.rigs.single_broker import OperatorCall, SingleBrokerRig, call_operator
+from harriertide.lab.rigs.processor import ProcessorTime, reserve_core
+from harriertide.lab.rigs.single_broker import BrokerProcess, OperatorCall, SingleBrokerRig, call_operator
 
 CALL_INTERVAL_S = 0.1
 WARM_UP_S = 2.0  # of load before the first call
@@ -75,6 +77,23 @@
     return started
 
 
+async def _call_and_log(rig: SingleBrokerRig, process: BrokerProcess) -> OperatorCall:
+    """Make one call, and log what the broker had of its core meanwhile."""
+    before = ProcessorTime.of_process(process.handle.pid)
+    called = await call_operator(process.operator_port, "GET /api/ready")
+    had = ProcessorTime.of_process(process.handle.pid).since(before)
+    rig.logs.write(
+        "platform",
+        "called",
+        line="GET /api/ready",
+        status=called.status,
+        took_s=called.took_s,
+        broker_ran_s=had.ran_s,
+        broker_waited_s=had.waited_s,
+    )
+    return called
+
+
 async def measure_calls(
     folder: Path, seed: int, calls: int, rate: float, busy: int, program: str
 ) -> CallTimes:
@@ -84,13 +103,19 @@
     :param busy: programs that share the broker's core
     :param program: the module that is the broker
     """
+    async with reserve_core() as core:
+        return await _measure_calls_on(core, folder, seed, calls, rate, busy, program)
+
+
+async def _measure_calls_on(
+    core: int, folder: Path, seed: int, calls: int, rate: float, busy: int, program: str
+) -> CallTimes:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     rig = SingleBrokerRig(folder, Random(seed))
     await rig.start()
     busy_programs: list[asyncio.subprocess.Process] = []
     silent_callers: list[asyncio.StreamWriter] = []
-    core = max(os.sched_getaffinity(0))
     answers = []
     try:
         process = await rig.launch(program=program)
@@ -104,7 +129,7 @@
         for _ in range(SILENT_CALLER_COUNT):
             silent_callers.append((await asyncio.open_connection(HOST, process.operator_port))[1])
         for _ in range(calls):
-            answers.append(await call_operator(process.operator_port, "GET /api/ready"))
+            answers.append(await _call_and_log(rig, process))
             await until(loop.time() + CALL_INTERVAL_S)
         stop.set()
         await load
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -14,6 +14,7 @@
 from harriertide.lab.checkers.upgrade_checker import IDLE_S, Verdict, check_logs
 from harriertide.lab.experiments import drains, upgrade_cases, upgrades
 from harriertide.lab.rigs.clients import PlannedRequest
+from harriertide.lab.rigs.processor import reserve_core, try_lock_core
 from harriertide.lab.rigs.single_broker import BURST, COLD_UNITS, OperatorCall
 
 COURSES = {
@@ -52,7 +53,17 @@
     measured = asyncio.run(
         operator_calls.measure_calls(tmp_path, 1, calls=5, rate=200, busy=1, program=program)
     )
-    assert len(measured.calls) == 5 and measured.late_count == 0
+    assert len(measured.calls) == 5 and measured.late_count == 0, (tmp_path / "platform.log").read_text()
+
+
+def test_a_core_is_reserved_for_one_rig_at_a_time() -> None:
+    """Guards against measuring how long a broker waits for another rig's programs."""
+
+    async def reserve_twice() -> int | None:
+        async with reserve_core() as core:
+            return try_lock_core(core)
+
+    assert asyncio.run(reserve_twice()) is None
 
 
 def test_late_and_unanswered_calls_are_counted() -> None:
