Forget finished orders by their agreed time of submission

An order under such a name is refused by some and accepted by others, and from then on their agreed states differ.

Looked for elsewhere: sessions dump a list, which keeps its order; answers and dumps are equal after each command.

Change: finished orders are sorted by (submitted_at_s, name), both agreed on, before the oldest go. Stored form as before.

--- a/harriertide/maintenance/state_machine.py
+++ b/harriertide/maintenance/state_machine.py
@@ -180,11 +180,16 @@
         return _DONE
 
     def _forget_old_orders(self) -> None:
-        """Keep the last KEPT_ORDER_COUNT orders that are over, and those that open ones come after."""
+        """Keep the last KEPT_ORDER_COUNT orders that are over, and those that open ones come after.
+
+        The last are those that were submitted last, by the agreed time: the dict's order is another one after
+        a snapshot, and members that forget by it would no longer have the same state.
+        """
         state = self.state
         open_orders = [order for order in state.orders.values() if state.is_open(order.id)]
         needed = {prerequisite for order in open_orders for prerequisite in order.after}
         over = [name for name in state.orders if not state.is_open(name) and name not in needed]
+        over.sort(key=lambda name: (state.submitted_at_s[name], name))
         for name in over[:-KEPT_ORDER_COUNT]:
             del state.orders[name]
             del state.steps[name]
