Say nothing about a warming node where a write to it was late

Callers saw: a shard's requests refused with "no node" while its node, just back, answered.

Cause: core/write_guard.py: a write to a warming node more than 40 ms after its decision is stopped, for its budget's sake, and ended as connect_failed; decide/health.py weighs that as three failures and ejects the node at once.

Evidence: the guard is asked when the connection is up, so what was late is the connection or the broker. Other ends that were looked at: rejected is a sign of life (it would reinstate a node that has not answered), not_sent gives the request up, cancelled counts as maybe executed.

--- a/harriertide/core/write_guard.py
+++ b/harriertide/core/write_guard.py
@@ -120,8 +120,8 @@
 
 # The first that forbids the write counts. What the decision module makes of each outcome: "rejected", the
 # request is placed again and nothing counts against the node's health; "not_sent", the request is given up,
-# unless its object is known to be in another shard; "connect_failed", the connection took so long to come up
-# that it counts as a failed one, for the node's health too.
+# unless its object is known to be in another shard; "withheld", the request is placed again and nothing is
+# said about the node: its connection is up, late or after a moment in which the broker stood still.
 WRITE_RULES = (
     WriteRule(_is_node_not_live, "rejected"),
     WriteRule(_is_node_barred, "rejected", "barred"),
@@ -129,7 +129,7 @@
     WriteRule(_is_out_of_time, "rejected"),
     WriteRule(_is_late_for_rate_limit, "not_sent"),
     WriteRule(_is_stream_on_a_budget, "rejected"),
-    WriteRule(_is_late_for_slow_start, "connect_failed"),
+    WriteRule(_is_late_for_slow_start, "withheld"),
 )
 
 
--- a/harriertide/decide/api/events.py
+++ b/harriertide/decide/api/events.py
@@ -71,14 +71,17 @@
 
 # ok: served. error: the node has failed. rejected: the node takes no more just now. timeout, connect_failed,
 # reset: the connection's end. cancelled: by this broker. not_sent: nothing was sent, or the node says that
-# the request is over or not its own; another attempt there would not help.
+# the request is over or not its own; another attempt there would not help. withheld: nothing was sent, for a
+# reason that says nothing about the node; another attempt may help.
 OutcomeKind: TypeAlias = Literal[
-    "ok", "error", "rejected", "timeout", "connect_failed", "reset", "cancelled", "not_sent"
+    "ok", "error", "rejected", "timeout", "connect_failed", "reset", "cancelled", "not_sent", "withheld"
 ]
 # The node has shown no sign of life.
 UNRESPONSIVE_OUTCOMES: frozenset[OutcomeKind] = frozenset({"timeout", "connect_failed", "reset"})
 # Proof that the attempt had no effect.
-NOT_EXECUTED_OUTCOMES: frozenset[OutcomeKind] = frozenset({"rejected", "connect_failed", "not_sent"})
+NOT_EXECUTED_OUTCOMES: frozenset[OutcomeKind] = frozenset(
+    {"rejected", "connect_failed", "not_sent", "withheld"}
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/decide/capacity.py
+++ b/harriertide/decide/capacity.py
@@ -78,7 +78,7 @@
         An attempt without a sign of life says nothing of how busy its node is: it counts like a rejection,
         however long it took.
         """
-        if kind == "cancelled":
+        if kind in ("cancelled", "withheld"):
             return
         ratio = 1.0
         if kind != "rejected" and kind not in api.UNRESPONSIVE_OUTCOMES:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -107,3 +107,18 @@
         attempt.node == "n00" and attempt.at_us > simulation.now_us - SECOND_US
         for attempt in simulation.attempts
     )
+
+
+def test_an_attempt_that_its_broker_withheld_says_nothing_about_its_node() -> None:
+    """A write to a warming node came too late for its budget. The node is not ejected for it, and the request
+    goes there again; nor is a node reinstated that has not answered.
+    """
+    broker = BrokerUnderTest()
+    (first,) = started_attempts(broker.request())
+    (second,) = started_attempts(broker.finish_attempt(first.request_id, "withheld"))
+    assert second.node_id == "n0" and not broker.scheduler.endpoints.nodes["n0"].is_ejected
+    broker.finish_attempt(first.request_id, "connect_failed", 1)
+    assert broker.scheduler.endpoints.nodes["n0"].is_ejected
+    (trial,) = started_attempts(broker.advance(TRIAL_INTERVAL_US))
+    broker.finish_attempt(trial.request_id, "withheld", 2)
+    assert broker.scheduler.endpoints.nodes["n0"].is_ejected
