Watch a superseded process accept again, and stop it where another takes over

Callers: after a new process of an upgrade died, the old one could be in charge, say that it is ready and accept nobody.

Cause: cli/in_place_upgrade.py, _reclaim: start_accepting ran as a task that nobody watched. An OSError in it was lost; and a third process that took over while the listeners were opening closed nothing, as nothing was open yet.

Evidence: two tests, each failing on the text before: no client accepted within 5 s after two failures to open; two processes of one broker that accept. Ruled out: the lease (it changed hands as it should in both).

Change: _accept_again tries until it works or this process is not in charge any more, logs each failure, and stops accepting what it opened too late; the task ends with the upgrade.

--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -18,6 +18,7 @@
 from harriertide.core.reducer import Reducer
 from harriertide.decide import api, handover
 from harriertide.decide.scheduler import Scheduler
+from harriertide.engine.clock import until
 from harriertide.engine.log import log
 from harriertide.engine.runtime import Runtime
 from harriertide.http.connection_table import ConnectionTable
@@ -36,6 +37,7 @@
 SUPERSEDED_NODE_CONNECTIONS_RATIO = 1 / 8
 # The new process may have at least this part of each side's connections, whatever the other one keeps.
 MIN_ACTIVE_CONNECTIONS_RATIO = 1 / 4
+ACCEPT_RETRY_S = 0.1  # between attempts to accept again: clients wait meanwhile
 MAX_CLOCK_DIFFERENCE_US = 1_000_000  # where two processes' clocks differ by more, a record's times mislead
 
 
@@ -111,6 +113,8 @@
 
     def close(self) -> None:
         """Leave the processes of this broker."""
+        if self._reopening is not None:
+            self._reopening.cancel()
         self.lease.close()
 
     # --- taking over ---------------------------------------------------------------------------
@@ -218,7 +222,26 @@
         process.apply_lifecycle()
         process.apply_limits()
         process.runtime.handle_now(ev.SettingsChanged(process.settings_in_force()))
-        self._reopening = asyncio.get_running_loop().create_task(process.start_accepting())
+        self._reopening = asyncio.get_running_loop().create_task(self._accept_again())
+
+    async def _accept_again(self) -> None:
+        """Accept clients and peers again, however often it takes, for as long as this process is in charge.
+
+        Guards against a broker that is in charge, says that it is ready and accepts nobody: an address may
+        not be free yet, or the process may be superseded again while its listeners open.
+        """
+        process = self._process
+        loop = asyncio.get_running_loop()
+        while self.lease.is_active:
+            try:
+                await process.start_accepting()
+            except OSError as error:
+                log("cannot accept again yet", reason=str(error), retry_s=ACCEPT_RETRY_S)
+                await until(loop.time() + ACCEPT_RETRY_S)
+            else:
+                break
+        if not self.lease.is_active:
+            process.stop_accepting()
 
     # --- limits that two processes share -------------------------------------------------------
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,12 +13,14 @@
 
 from harriertide.cli import in_place_upgrade
 from harriertide.cli.daemon import Daemon
+from harriertide.cli.listeners import Listeners
 from harriertide.decide import api, handover
 from harriertide.decide.demand_aggregate import DemandAggregate
 from harriertide.decide.handover import records as handover_records
 from harriertide.decide.settings import from_wire, names_from_wire
 from harriertide.decide.state import VolumeState
 from harriertide.decide.token_bucket import TokenBucket
+from harriertide.http.client_server import FrontServer
 from harriertide.http.limits import Limits
 from harriertide.http.listener import UNREPORTED_ACCEPT_COUNT
 from harriertide.lifecycle import active_process, record
@@ -551,6 +553,68 @@
     on_platform(course, tmp_path, monkeypatch)
 
 
+def kill(daemon: Daemon) -> None:
+    """End a process as SIGKILL does: the system closes its descriptors."""
+    assert daemon.in_place_upgrade is not None
+    daemon.stop_accepting()
+    daemon.in_place_upgrade.close()
+    daemon.stopping.set()
+
+
+def test_a_process_in_charge_again_accepts_as_soon_as_it_can(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a broker in charge that accepts nobody, as its address was in use when it took back."""
+    failures = [OSError("address in use"), OSError("address in use")]
+    open_for_clients = Listeners.open_for_clients
+
+    async def fail_twice(listeners: Listeners, protocol: FrontServer) -> None:
+        if failures:
+            raise failures.pop()
+        await open_for_clients(listeners, protocol)
+
+    async def course(platform: Platform) -> None:
+        old = await platform.process()
+        new = await platform.process()
+        monkeypatch.setattr(Listeners, "open_for_clients", fail_twice)
+        kill(new)
+        async with asyncio.timeout(PATIENCE_S):
+            while not old.listeners.accepts_clients:
+                await asyncio.sleep(0.01)
+        await platform.served(*await platform.client())
+
+    on_platform(course, tmp_path, monkeypatch)
+
+
+def test_a_process_superseded_while_it_opens_again_accepts_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two processes of one broker that accept: the third took over as the first reopened."""
+    open_for_clients = Listeners.open_for_clients
+
+    async def course(platform: Platform) -> None:
+        old = await platform.process()
+        new = await platform.process()
+        may_open = asyncio.Event()
+
+        async def open_late(listeners: Listeners, protocol: FrontServer) -> None:
+            if listeners is old.listeners:
+                await may_open.wait()
+            await open_for_clients(listeners, protocol)
+
+        monkeypatch.setattr(Listeners, "open_for_clients", open_late)
+        kill(new)
+        async with asyncio.timeout(PATIENCE_S):
+            while old.lifecycle.is_superseded:
+                await asyncio.sleep(0.01)
+            third = await platform.process()
+            may_open.set()
+            await asyncio.sleep(0.05)
+        assert third.listeners.accepts_clients and not old.listeners.accepts_clients
+
+    on_platform(course, tmp_path, monkeypatch)
+
+
 def test_a_state_that_cannot_be_written_down_leaves_one_in_charge(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
