Let epochs rise with each takeover: two upgrades at once passed a limit

Cause: lifecycle/process_registry.py, claimed_epoch: the active process answers claims of later epochs only. Of two new processes the one that entered first may take over last; its claim was disregarded, it waited 2 s and went on without the state, its bucket filled since its own start, while the other gave out the same units.

Change: who takes over from a later epoch takes a new one above it first.

--- a/harriertide/lifecycle/active_process.py
+++ b/harriertide/lifecycle/active_process.py
@@ -68,6 +68,7 @@
         while not registry.try_lock_takeover():
             await until(self._loop.time() + TAKEOVER_POLL_INTERVAL_S)
         try:
+            registry.raise_epoch()
             before = registry.active_epoch()
             data = await self._claim_from(before) if registry.is_alive(before) else None
             registry.become_active()
--- a/harriertide/lifecycle/process_registry.py
+++ b/harriertide/lifecycle/process_registry.py
@@ -97,15 +97,19 @@
         part = self._folder / f"entering.{os.getpid()}.part"
         lock = _try_lock(part)
         assert lock is not None, "the name has this process's own id"
+        return self._rename_to_new_epoch(part), lock
+
+    def _rename_to_new_epoch(self, path: Path) -> int:
+        """Give a process's file the name of an epoch above all others, and return that."""
         epoch = max([0, *self._registered_epochs(), self.active_epoch(), _read_epoch(self._claim_path)])
         while True:
             epoch += 1
             try:
-                os.link(part, self._process_path(epoch))
+                os.link(path, self._process_path(epoch))
             except FileExistsError:  # another process entered at the same moment
                 continue
-            part.unlink()
-            return epoch, lock
+            path.unlink()
+            return epoch
 
     # --- questions -----------------------------------------------------------------------------
 
@@ -145,6 +149,14 @@
         self._takeover_lock = _try_lock(self._takeover_path)
         return self._takeover_lock is not None
 
+    def raise_epoch(self) -> None:
+        """Take a new epoch above that of the active process, which entered later and took over earlier.
+
+        Guards against a claim that the active process disregards, as it answers later epochs only.
+        """
+        if self.active_epoch() > self.epoch:
+            self.epoch = self._rename_to_new_epoch(self._process_path(self.epoch))
+
     def write_claim(self) -> None:
         """Claim to be the active process: the present one answers with a record."""
         _write_atomically(self._claim_path, b"%d" % self.epoch)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -141,6 +141,22 @@
     asyncio.run(course())
 
 
+def test_the_one_that_entered_first_and_takes_over_last_gets_the_state_too(tmp_path: Path) -> None:
+    """Guards against a claim that the active process disregards: both would give out the same limits."""
+
+    async def course() -> None:
+        old, early, late = [Process(tmp_path) for _ in range(3)]
+        await old.lease.take_over()
+        await late.lease.take_over()
+        assert await early.lease.take_over() == b"state for %d" % early.lease.epoch
+        assert late.events == ["released"] and early.lease.epoch > late.lease.epoch
+        assert early.registry.is_alive(early.lease.epoch) and late.registry.is_alive(early.lease.epoch)
+        early.die()
+        assert not late.registry.is_alive(early.lease.epoch)
+
+    asyncio.run(course())
+
+
 @pytest.mark.parametrize("charged", [False, True], ids=["before it is in charge", "right after"])
 def test_the_old_process_takes_back_from_one_that_dies(tmp_path: Path, charged: bool) -> None:
     """The new process is killed in the middle of its takeover, or right after it: the old one reclaims
