Begin with empty limits where a process takes over without state

Callers saw: the other half of the burst that passed a limit (48 units at once) by a process that had just taken over.

Cause: cli/in_place_upgrade.py, take_over: without a record the scheduler went on as started, so limits had filled and warming nodes' budgets had been free since its first decision, while another process gave out the same units until the takeover.

Ruled out for the rest: a reclaim (its settings change resets buckets).

Change: Scheduler.begin_anew resets as a changed fleet does, as of now; called wherever no record was imported. Drain and list of such a record stay: they are operators' and discovery's word.

Measured: the test of a failing import failed before (1 failed); the scheduler's own test is new with the function. test_upgrade, test_slow_start, test_rate_limits, test_parity pass.

--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -125,9 +125,17 @@
         :returns: False: with no state, as there was no active process or it left no record that can be used.
         """
         data = await self.lease.take_over()
+        if data is not None and self._has_imported(data):
+            return True
+        scheduler = self._process.core.scheduler
+        if isinstance(scheduler, Scheduler):
+            scheduler.begin_anew(self._process.runtime.clock.now_us())
         if data is None:
             log("in charge", epoch=self.lease.epoch, state="none")
-            return False
+        return False
+
+    def _has_imported(self, data: bytes) -> bool:
+        """Go on from a record; False, with the reason in the log, where it can't be used."""
         try:
             now_s = asyncio.get_running_loop().time()
             self._import(decode(data, self._broker, self.lease.epoch, now_s))
--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -112,6 +112,22 @@
         self._set_timer()
         return context.actions
 
+    def begin_anew(self, now_us: int) -> None:
+        """Begin now, knowing of nothing that was given out until then.
+
+        Guards against limits and budgets that fill from this process's start, while another process of the
+        broker still gave them out.
+
+        :param now_us: the moment from which on no other process gives anything out
+        """
+        context = self.context
+        if not context.has_started:
+            return  # it begins with its first call
+        context.now_us = max(now_us, context.now_us)
+        context.started_at_us = context.now_us
+        self._forget_other_brokers()
+        self.rate_limits.apply_settings()
+
     def learned_capacity_by_node(self) -> dict[str, float]:
         """What the live nodes of overloaded shards can do, in units a second, as far as it was learned."""
         return {
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,6 +17,7 @@
 from harriertide.decide import api, handover
 from harriertide.decide.demand_aggregate import DemandAggregate
 from harriertide.decide.handover import records as handover_records
+from harriertide.decide.scheduler import Scheduler
 from harriertide.decide.settings import from_wire, names_from_wire
 from harriertide.decide.state import VolumeState
 from harriertide.decide.token_bucket import TokenBucket
@@ -376,6 +377,20 @@
     assert started_attempts(new.request(plan=1, shard=0))
 
 
+def test_a_process_that_begins_without_state_has_no_units_from_before() -> None:
+    """Guards against a limit and a warming node's budget that two processes of a broker give out at once."""
+    warming = api.NodeEntry("n0", 0, started_us=START_US - 100_000)
+    broker = BrokerUnderTest((warming, api.NodeEntry("n1", 1)), broker_count=1)
+    broker.advance(2_500_000)
+    broker.scheduler.begin_anew(broker.now_us)
+    assert not started_attempts(broker.request(plan=1, shard=1))
+    assert not started_attempts(broker.request(shard=0))
+    assert started_attempts(broker.advance(1_000_000))
+    unstarted = Scheduler(broker.settings, 1)
+    unstarted.begin_anew(START_US)
+    assert not unstarted.context.has_started  # its first call starts it
+
+
 def test_a_superseded_process_gives_out_no_limit_and_nothing_of_cold_nodes() -> None:
     """Both processes live on for a while: only the active one may spend rate limits and slow-start budget."""
     cold = api.NodeEntry("n0", 0, started_us=START_US - 1_000_000)
@@ -659,7 +674,10 @@
     and serves.
     """
 
-    def fail(scheduler: object, state: object) -> None:
+    released_at_us: list[int] = []
+
+    def fail(scheduler: object, state: object, now_us: int) -> None:
+        released_at_us.append(now_us)
         raise KeyError("another release's")
 
     async def course(platform: Platform) -> None:
@@ -669,6 +687,7 @@
         async with asyncio.timeout(PATIENCE_S):
             while not new.lifecycle.is_serving:
                 await asyncio.sleep(0.01)
+        assert new.core.scheduler.context.started_at_us >= released_at_us[0]  # type: ignore[attr-defined]
         await platform.served(*await platform.client())
 
     on_platform(course, tmp_path, monkeypatch)
