Keep the inherited socket over a reload, and reload behind a start only

Callers saw: a process that inherits its socket and gets SIGHUP while it starts exits with 2, "Address already in use".

Cause: platform/configuration.py: a reload reads the file without the environment, where LB_INHERITED_FD stands, so the process listened for itself.

Ruled out: ports of rigs side by side.

Change: a reload takes the descriptor of the running process; a SIGHUP during a start is carried out once it has started.

Measured: the new test failed before; test_run, test_configuration and test_on_call pass.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -248,11 +248,11 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload, environment)
-        if early_reloads.are_awaited:
-            self.reload(environment)
         loop.add_signal_handler(signal.SIGUSR1, self._log_counters)
         await self.start()
+        loop.add_signal_handler(signal.SIGHUP, self.reload, environment)
+        if early_reloads.are_awaited:  # only now: a start goes by the configuration that it began with
+            self.reload(environment)
         _resume_garbage_collection()
         await self.stopping.wait()
         await self.stop()
--- a/harriertide/cli/early_reload.py
+++ b/harriertide/cli/early_reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP while the process starts: held until the event loop takes signals; else it ends the process."""
+"""SIGHUP while the process starts: held until it has started; else it ends the process."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
         self._handler_before: Any = None  # as signal.signal returns it; None: nothing is held
 
     def hold(self) -> None:
-        """Note each SIGHUP from now on, until the event loop takes it over.
+        """Note each SIGHUP from now on, until the started process takes it over.
 
         Guards against a new configuration that reaches a process which has just been started: the system ends
         a process by SIGHUP that does not handle it, and the file may have been read already.
--- a/harriertide/platform/configuration.py
+++ b/harriertide/platform/configuration.py
@@ -115,6 +115,8 @@
     top = SettingsSection(raw, "")
     addresses = _parse_addresses(top, environment)
     inherited_descriptor = _parse_descriptor(environment.get("LB_INHERITED_FD", ""))
+    if running is not None:  # of the process, whatever its configuration
+        inherited_descriptor = running.inherited_descriptor
     limits = top.section("limits") if raw.get("limits") else SettingsSection({}, "limits")
     seed = _parse_seed(raw)
     settings, names = _parse_settings(raw["settings"], running)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -123,3 +123,11 @@
     extended["classes"][0]["novel"] = extended["safety"]["novel"] = {"x": 1}
     extended["limits"]["probes"] = extended["safety"]["keyQuietUs"] = None
     assert from_wire(extended) == from_wire(WIRE)
+
+
+def test_a_reload_keeps_the_socket_that_the_platform_holds(tmp_path: Path) -> None:
+    """Guards against a process that listens for itself once its file was reread: the address is taken."""
+    (tmp_path / "config").write_text(json.dumps({**MINIMAL_CONFIGURATION, "settings": WIRE}))
+    environment = {"LB_CONFIG": str(tmp_path / "config"), "LB_INHERITED_FD": "5"}
+    running = read_config(environment)
+    assert running.inherited_descriptor == read_config(environment, running).inherited_descriptor == 5
