--- a/harriertide/cli/lab.py
+++ b/harriertide/cli/lab.py
@@ -12,6 +12,7 @@
   operator-calls  how soon operators are answered under overload, on a part of a core
   parity         one workload through daemon and library; every decision compared
   processes      real brokers with faults between them, checked at the node by a plan's limit
+  soak           a real broker under load, with signals in series, crowds, pauses and faults of nodes
   upgrades       upgrades in place of a real broker under load, with random faults
   second-copy    look for hedged requests on real sockets; see docs/measurements/second-copy.md
 """
@@ -34,6 +35,7 @@
     "parity": "experiments.parity",
     "processes": "experiments.processes",
     "second-copy": "experiments.duplicate_attempts",
+    "soak": "experiments.soak",
     "upgrades": "experiments.upgrades",
 }
 
--- a/harriertide/lab/rigs/clients.py
+++ b/harriertide/lab/rigs/clients.py
@@ -16,6 +16,7 @@
 READ_BYTES = 1 << 18
 INITIAL_RATE = 120.0  # requests a second
 LONG_RESPONSE_RATIO = 0.02  # of requests
+WRITE_BODY = "kk"
 
 
 class ConnectionEndedError(Exception):
@@ -62,6 +63,7 @@
     """A request that a client is about to send.
 
     :ivar long: the node is to answer with LONG_BYTES
+    :ivar request_class: "read", or "append" for one that may run once only
     """
 
     key: int
@@ -69,6 +71,7 @@
     units: int
     shard: int
     long: bool
+    request_class: str = "read"
 
     def request_id(self, attempt: int) -> str:
         """A repeat is a request of its own: a process that was killed may have sent on the first."""
@@ -77,11 +80,15 @@
     def encode(self, attempt: int) -> bytes:
         """The request's bytes."""
         long = "X-Long: 1\r\n" if self.long else ""
+        method = "GET" if self.request_class == "read" else "PUT"
+        body = "" if self.request_class == "read" else WRITE_BODY
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
         return (
-            f"GET /api?key={self.key:016x} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.request_id(attempt)}\r\n"
-            f"X-Call-Class: read\r\nX-Storage-Class: {self.plan}\r\n"
-            f"X-Budget-Ms: {DEADLINE_MS}\r\n{long}"
-            f"X-Extent: volume={7:016x},units={self.units},shard={self.shard},hosts=1\r\n\r\n"
+            f"{method} /api?key={self.key:016x} HTTP/1.1\r\nHost: x\r\n"
+            f"X-Call-Id: {self.request_id(attempt)}\r\n"
+            f"X-Call-Class: {self.request_class}\r\nX-Storage-Class: {self.plan}\r\n"
+            f"X-Budget-Ms: {DEADLINE_MS}\r\n{long}{length}"
+            f"X-Extent: volume={7:016x},units={self.units},shard={self.shard},hosts=1\r\n\r\n{body}"
         ).encode()
 
 
@@ -96,6 +103,7 @@
         self.request_count = 0
         self.rate = INITIAL_RATE
         self.long_ratio = LONG_RESPONSE_RATIO
+        self.append_ratio = 0.0  # of requests that may run once only
         self.gets_new_connections = True  # from the front; else requests use kept connections only
         self.busy: dict[Connection, float] = {}  # since when each carries a request
         self._tasks: set[asyncio.Task[None]] = set()
@@ -123,6 +131,7 @@
             units=random.randint(1, 3),
             shard=random.randrange(3),
             long=random.random() < self.long_ratio,
+            request_class="append" if self.append_ratio and random.random() < self.append_ratio else "read",
         )
 
     async def _send_one(self) -> None:
@@ -137,7 +146,7 @@
     async def _attempt(self, planned: PlannedRequest, attempt: int, kept: Connection | None) -> bool:
         """Send on a kept connection, or on a new one; False where the kept one was closed first."""
         request = planned.request_id(attempt)
-        self._logs.write("clients", "asked", request=request)
+        self._logs.write("clients", "asked", request=request, request_class=planned.request_class)
         connection = kept
         try:
             connection = kept or await self._connect()
@@ -148,10 +157,10 @@
             if kept is not None and not error.response_started:
                 self._logs.write("clients", "crossed", request=request)
                 return False
-            self._logs.write("clients", "ended", request=request, begun=error.response_started)
+            self._log_end(request, error.response_started, is_new=kept is None)
             return True
         except (OSError, TimeoutError):
-            self._logs.write("clients", "ended", request=request, begun=False)
+            self._log_end(request, response_started=False, is_new=kept is None)
             return True
         finally:
             if connection is not None:
@@ -163,6 +172,30 @@
             connection.writer.close()
         return True
 
+    def _log_end(self, request: str, response_started: bool, is_new: bool) -> None:
+        """Log that a connection ended without a whole response; is_new: it was opened for this request."""
+        self._logs.write("clients", "ended", request=request, begun=response_started, new=is_new)
+
+    def burst(self, count: int) -> None:
+        """Send so many requests at once, each on a new connection."""
+        loop = asyncio.get_running_loop()
+        for _ in range(count):
+            task = loop.create_task(self._send_on_new_connection())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _send_on_new_connection(self) -> None:
+        await self._attempt(self._plan_request(), 0, None)
+
+    async def leave_early(self, after_s: float) -> None:
+        """Send a request on a new connection, and close it after this time without reading."""
+        planned = self._plan_request()
+        connection = await self._connect()
+        connection.writer.write(planned.encode(0))
+        await until(asyncio.get_running_loop().time() + after_s)
+        connection.writer.transport.abort()
+        self._logs.write("clients", "left", request=planned.request_id(0))
+
     async def read_slowly(self, over_s: float) -> bool:
         """Send a request with a long response and read it over this time; whether it came complete."""
         loop = asyncio.get_running_loop()
--- a/harriertide/lab/rigs/single_broker.py
+++ b/harriertide/lab/rigs/single_broker.py
@@ -50,6 +50,10 @@
         "index": 0, "groupSize": 1,
         "classes": [
             {**request_class, "sloUs": 1000 * LATENCY_OBJECTIVE_MS, "deadlineUs": 1000 * DEADLINE_MS},
+            {
+                **request_class, "name": "append", "effect": "at_most_once",
+                "sloUs": 1000 * LATENCY_OBJECTIVE_MS, "deadlineUs": 1000 * DEADLINE_MS,
+            },
         ],
         "plans": [
             {**plan, "name": "free", "ceilingRate": 0.0, "mostAtOnce": 0.0},
