--- a/harriertide/lab/experiments/soak_run.py
+++ b/harriertide/lab/experiments/soak_run.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from harriertide.engine.clock import until
-from harriertide.lab.experiments.soak_plan import CROWD_STEPS, Restart, SignalAt, SoakPlan, Step
+from harriertide.lab.experiments.soak_plan import Restart, SignalAt, SoakPlan, Step
 from harriertide.lab.rigs.clients import DEADLINE_MS
 from harriertide.lab.rigs.single_broker import COLD_S, BrokerProcess, SingleBrokerRig
 
@@ -21,7 +21,6 @@
 KILL_SLACK_S = 0.7
 EARLIEST_KILL_S = min(MAX_WAITED_DEADLINE_S, DEADLINE_MS / 1000) + KILL_SLACK_S  # after SIGTERM
 HALF_REQUEST = b"GET /api?key=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: "
-HANDLER_TIMEOUT_S, HANDLER_POLL_S = 5.0, 0.002  # for a process to handle signals
 UNUSABLE_BYTES = 20  # that a spoilt configuration file lacks at its end
 MAX_LEAVE_S = 0.05  # after which a client that leaves early closes
 SIGNALS = {"HUP": signal.SIGHUP, "TERM": signal.SIGTERM}
@@ -68,9 +67,9 @@
         await load
 
     async def _take_step(self, step: Step) -> None:
-        """Carry out one step; one that may fill the descriptors is logged as a crowd."""
+        """Carry out one step; idle clients that fill the descriptors are logged."""
         self._log("step", kind=step.kind)
-        is_crowd = self._plan.has_crowd and step.kind in CROWD_STEPS
+        is_crowd = step.kind == "crowd"
         if is_crowd:
             self._log("crowd", begins=True)
         await self._steps[step.kind](step)
@@ -153,7 +152,6 @@
     async def _start_under_signals(self, signals: tuple[SignalAt, ...]) -> BrokerProcess:
         """Start a process and send it signals meanwhile; another one where they ended it."""
         process = await self._launch()
-        await _wait_for_handler(process)
         await self._send(process, signals, may_spoil=False)
         if any(each.name == "TERM" for each in signals):
             await _pause(EARLIEST_KILL_S)
@@ -248,18 +246,6 @@
     return next(index for index, each in enumerate(signals) if each.name == "TERM")
 
 
-async def _wait_for_handler(process: BrokerProcess) -> None:
-    """Wait until a process handles SIGHUP: before its first line only the interpreter runs."""
-    loop = asyncio.get_running_loop()
-    end_s = loop.time() + HANDLER_TIMEOUT_S
-    status = Path(f"/proc/{process.handle.pid}/status")
-    while process.is_running and loop.time() < end_s:
-        (caught,) = [line for line in status.read_text().splitlines() if line.startswith("SigCgt:")]
-        if int(caught.split()[1], 16) >> (signal.SIGHUP - 1) & 1:
-            return
-        await until(loop.time() + HANDLER_POLL_S)
-
-
 async def _pause(seconds: float) -> None:
     """Wait while the load goes on."""
     await until(asyncio.get_running_loop().time() + seconds)
