Let connections wait in the kernel's queue at the limit, in place of closing them

Callers lost requests on new connections without an answer, within a millisecond, while others came or left in a burst, or after an upgrade.

Cause: ConnectionTable.admit accepted first and closed the connection where nothing could be evicted, though its request lay in the socket.

Now a listener stops accepting at the limit and goes on once a connection ends or can be evicted (http/accept_control). One connection may exceed the limit: only an accepted one shows whether it carries a request. Inactive ones are evicted by age while nothing is accepted; the time in the queue, as the kernel tells it, counts against the request's deadline; a shutdown accepts what waits before it closes the listener; raised limits let the queue in at once. asyncio's server can't be paused, so the listener accepts by add_reader and connect_accepted_socket. Accepted connections that the table does not know yet are counted, no longer guessed at twelve.

--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -23,7 +23,6 @@
 from harriertide.engine.runtime import Runtime
 from harriertide.http.connection_table import ConnectionTable
 from harriertide.http.limits import Limits
-from harriertide.http.listener import UNREPORTED_ACCEPT_COUNT
 from harriertide.http.node_client import NodeClient
 from harriertide.lifecycle.active_process import ActiveProcessHooks, ActiveProcessLease
 from harriertide.lifecycle.machine import Lifecycle
@@ -269,7 +268,7 @@
 
         Guards against a limit that closes these: they have sent their requests already.
         """
-        return len(self._process.clients) + UNREPORTED_ACCEPT_COUNT
+        return len(self._process.clients) + self._process.clients.accept_control.unreported_count
 
     def _kept_node_connection_count(self) -> int:
         """Connections to nodes that a superseded process finishes its requests with."""
--- a/harriertide/cli/listeners.py
+++ b/harriertide/cli/listeners.py
@@ -11,7 +11,7 @@
 
 from harriertide.engine.log import log
 from harriertide.http.client_server import TrackedServer
-from harriertide.http.listener import InheritError, inherit, listen, stop_listening
+from harriertide.http.listener import AcceptingServer, InheritError, inherit, listen
 from harriertide.platform.configuration import BadConfigError, Config
 
 Address = tuple[str, int]  # host and port
@@ -40,13 +40,13 @@
 
     def __init__(self) -> None:
         self.client_address: Address | socket.socket | None = None
-        self.servers: list[asyncio.Server] = []
-        self.operator_server: asyncio.Server | None = None
-        self._client_server: asyncio.Server | None = None
+        self.servers: list[AcceptingServer] = []
+        self.operator_server: AcceptingServer | None = None
+        self._client_server: AcceptingServer | None = None
 
-    async def open(self, at: Address | socket.socket, protocol: TrackedServer) -> asyncio.Server:
+    async def open(self, at: Address | socket.socket, protocol: TrackedServer) -> AcceptingServer:
         """Accept connections at an address, or on a socket that listens already."""
-        server = await listen(at, protocol)
+        server = await listen(at, protocol, protocol.table.accept_control)
         self.servers.append(server)
         host, port = server.sockets[0].getsockname()[:2]
         log("serves", on=f"{host}:{port}")
@@ -68,7 +68,7 @@
         """Accept none of them any more; those that were accepted are kept."""
         if self._client_server is None:
             return
-        stop_listening(self._client_server)
+        self._client_server.close()
         self.servers.remove(self._client_server)
         self._client_server = None
 
@@ -96,7 +96,7 @@
     def stop_accepting(self) -> None:
         """Accept nothing more but calls of operators; connections that were accepted are kept."""
         for server in self.servers:
-            stop_listening(server)
+            server.close()
 
     def port(self, index: int) -> int:
         """The port of a server, where the system chose it."""
--- a/harriertide/cli/shutdown.py
+++ b/harriertide/cli/shutdown.py
@@ -69,9 +69,10 @@
     deadline = asyncio.get_running_loop().time() + grace_s
     log("stopping", open=process.core.open_request_count(), connections=len(process.clients), grace_s=grace_s)
     await _accept_late_connections()
-    process.listeners.stop_accepting()
+    _stop_accepting_unless_queued(process)
     await _serve_until(process, deadline - FINAL_RESPONSES_S)
     await _send_final_responses(process, deadline)
+    process.listeners.stop_accepting()
     await _reject_the_rest(process, deadline)
     await _close(process)
 
@@ -96,6 +97,15 @@
     await sleep_until(asyncio.get_running_loop().time() + ACCEPT_GRACE_S)
 
 
+def _stop_accepting_unless_queued(process: StoppingProcess) -> None:
+    """Accept nothing more, unless connections wait for others to end.
+
+    Guards against requests that wait in the queue of a listener when it closes: the system resets them.
+    """
+    if not process.clients.accept_control.has_waiting_connections:
+        process.listeners.stop_accepting()
+
+
 def _is_busy(process: StoppingProcess) -> bool:
     return process.core.open_request_count() > 0 or len(process.clients) > 0
 
@@ -104,6 +114,7 @@
     """Serve requests on connections that clients keep, until there is none or it is this late."""
     loop = asyncio.get_running_loop()
     while _is_busy(process) and loop.time() < time_s:
+        _stop_accepting_unless_queued(process)
         await sleep_until(loop.time() + POLL_INTERVAL_S)
 
 
@@ -115,6 +126,7 @@
     if process.objects is not None:
         process.objects.front.ready = False
     while _is_busy(process) and loop.time() < deadline:
+        _stop_accepting_unless_queued(process)
         process.clients.close_idle()  # also one whose request was about to be read in the turn before
         await sleep_until(loop.time() + POLL_INTERVAL_S)
 
--- a/harriertide/http/client_connection.py
+++ b/harriertide/http/client_connection.py
@@ -48,13 +48,14 @@
     :param options: options of aiohttp's handler
     """
 
-    __slots__ = ("table", "state", "since", "discarded")
+    __slots__ = ("table", "state", "since", "queue_time_s", "discarded")
 
     def __init__(self, server: web.Server, table: ConnectionTracker, **options: Any) -> None:
         super().__init__(server, loop=asyncio.get_running_loop(), **options)
         self.table = table
         self.state: ConnectionState = "silent"
         self.since = 0.0  # when the connection entered its state, in the event loop's time
+        self.queue_time_s = 0.0  # for which the first request waited until the connection was accepted
         self.discarded = 0  # bytes discarded while the connection lingers
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/harriertide/http/connection_table.py
+++ b/harriertide/http/connection_table.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 
+from harriertide.http.accept_control import AcceptControl
 from harriertide.http.client_connection import ClientConnection, ConnectionState
 from harriertide.http.limits import Limits
 from harriertide.http.socket_state import has_unread_input
@@ -24,7 +25,8 @@
 # Connections to evict for a new one at the limit, in this order: state, and minimum time in it in seconds.
 # The short times matter when many clients connect at once and send nothing or half a request: none of those
 # connections has been in its state for long.
-_EVICTION_ORDER: tuple[tuple[ConnectionState, float], ...] = (
+_EvictionOrder = tuple[tuple[ConnectionState, float], ...]
+_EVICTION_ORDER: _EvictionOrder = (
     ("lingering", 0.0),
     ("silent", 0.25),
     ("idle", SCARCE_IDLE_TIMEOUT_S),
@@ -33,18 +35,22 @@
     ("reading", 0.5),
 )
 # For a new connection on which request bytes have already arrived.
-_EVICTION_ORDER_FOR_REQUEST: tuple[tuple[ConnectionState, float], ...] = (
+_EVICTION_ORDER_FOR_REQUEST: _EvictionOrder = (
     *_EVICTION_ORDER,
     ("silent", 0.0),
     ("reading", 0.0),
 )
 
 
+def _has_request(connection: ClientConnection) -> bool:
+    """Whether request bytes have arrived on a new connection."""
+    return has_unread_input(connection.transport)
+
+
 class ConnectionTable:
     """The client connections by state, each state ordered from the longest in it to the newest."""
 
     def __init__(self, limits: Limits) -> None:
-        self.apply_limits(limits)
         self.counts: Counter[str] = Counter()
         self._loop = asyncio.get_running_loop()
         self._by_state: dict[ConnectionState, dict[ClientConnection, None]] = {
@@ -52,11 +58,14 @@
         }  # fmt: skip
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._retire_at: float | None = None  # in the event loop's time; None: the broker is not retiring
+        self.accept_control = AcceptControl(self)
+        self.apply_limits(limits)
 
     def apply_limits(self, limits: Limits) -> None:
         """Apply new limits to later admissions and sweeps."""
         self.max_connections = limits.max_client_connections
         self.max_unsent_bytes = limits.max_buffered_response_bytes
+        self.accept_control.resume_if_room()
 
     def __len__(self) -> int:
         return sum(map(len, self._by_state.values()))
@@ -66,20 +75,20 @@
         return list(self._by_state[state])
 
     def admit(self, connection: ClientConnection) -> None:
-        """Add a new connection. At the limit, evict an inactive connection, or else close the new one."""
+        """Add a new connection. Beyond the limit, evict an inactive connection if there is one."""
         self.counts["accepted"] += 1
-        is_full = len(self) >= self.max_connections
         connection.since = self._loop.time()
+        connection.queue_time_s = self.accept_control.queue_time_s(connection.transport)
         self._by_state["silent"][connection] = None
-        if is_full and not self._evict_one(has_unread_input(connection.transport)):
-            self.counts["turned_away"] += 1
-            connection.drop()
+        if len(self) > self.max_connections:
+            self._evict(_EVICTION_ORDER_FOR_REQUEST if _has_request(connection) else _EVICTION_ORDER)
         if self._sweep_timer is None:
             self._sweep_timer = self._loop.call_at(connection.since + SWEEP_INTERVAL_S, self._sweep)
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
         self._by_state[connection.state].pop(connection, None)
+        self.accept_control.resume_if_room()
 
     def set_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Move a connection to another state.
@@ -103,12 +112,12 @@
 
     # --- closing -------------------------------------------------------------------------------
 
-    def _evict_one(self, for_request: bool) -> bool:
-        """Close the first connection in the eviction order; return whether there was one.
+    def evict_one(self) -> bool:
+        """Close an inactive connection for one that waits to be accepted; return whether there was one."""
+        return self._evict(_EVICTION_ORDER)
 
-        :param for_request: request bytes have arrived on the connection to be admitted
-        """
-        order = _EVICTION_ORDER_FOR_REQUEST if for_request else _EVICTION_ORDER
+    def _evict(self, order: _EvictionOrder) -> bool:
+        """Close the first connection in an eviction order; return whether there was one."""
         return any(self._close_overdue(state, age_s, 1, is_urgent=True) for state, age_s in order)
 
     def _close_overdue(
@@ -188,6 +197,7 @@
 
     def close(self) -> None:
         """Close all connections, and stop the sweep."""
+        self.accept_control.close()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
             self._sweep_timer = None
--- a/harriertide/lab/simulation/virtual_time.py
+++ b/harriertide/lab/simulation/virtual_time.py
@@ -57,6 +57,8 @@
 class Loop(asyncio.SelectorEventLoop):
     """The event loop of one simulation."""
 
+    simulates_network = True  # listening sockets are represented by `create_server` alone
+
     def __init__(self, network: Network | None = None) -> None:
         self._clock = _VirtualClock()
         self.network = network or Network()
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -275,6 +275,12 @@
         send_coroutine = self._send_remainder(remainder, framing, closes_connection)
         self._send_task = asyncio.get_running_loop().create_task(send_coroutine)
 
+    def take_queue_time_us(self) -> int:
+        """How long the open request waited until its connection was accepted; 0 for all but the first."""
+        queue_time_us = round(self.queue_time_s * 1e6)
+        self.queue_time_s = 0.0
+        return queue_time_us
+
     def refuse(self, status: int, reason: str) -> None:
         """Reject a request that can't be served, and close the connection after the response."""
         self._closes_after_response = True
--- a/harriertide/platform/fields.py
+++ b/harriertide/platform/fields.py
@@ -80,7 +80,7 @@
     method: str,
     target: str,
     fields: HeaderFields,
-    now_us: int,
+    arrived_at_us: int,
     names: Names,
     settings: api.Settings,
     streams_body: bool = False,
@@ -88,7 +88,7 @@
     """Parse a request head into the arrival event of the decision module.
 
     :param fields: the result of `read_fields`
-    :param now_us: the time at which the head was read, in Unix microseconds
+    :param arrived_at_us: the time from which on the client waits, in Unix microseconds
     :param names: names of classes and plans
     :param streams_body: whether the body is still being received. The deadline is then the client's alone: a
         class's deadline counts from the last byte of the body and applies only once the body is complete.
@@ -115,7 +115,7 @@
         plan=plan,
         volume=_parse_hex_id(extent.get("volume", ""), "X-Extent: volume"),
         shard=_parse_integer(extent.get("shard", ""), "X-Extent: shard", minimum=-1),
-        deadline_at_us=now_us + wait_us - DEADLINE_MARGIN_US,
+        deadline_at_us=arrived_at_us + wait_us - DEADLINE_MARGIN_US,
         units=_parse_number(extent.get("units", ""), "X-Extent: units", maximum=settings.max_request_units),
         key=_parse_hex_id(key, "key") if key is not None else "",
         sharing_broker_count=_parse_integer(extent.get("hosts", "1"), "X-Extent: hosts", minimum=1),
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -81,11 +81,12 @@
         """Submit a request to the core, or refuse a malformed one."""
         runtime = self._runtime
         streams_body = isinstance(body, StreamedRequestBody)
+        arrived_at_us = runtime.clock.now_us() - connection.take_queue_time_us()
         try:
             if body and message.method == "GET":
                 raise MalformedRequestError("a GET has no body")
             arrival = read_arrival(
-                message.method, message.path, connection.fields, runtime.clock.now_us(), self.names,
+                message.method, message.path, connection.fields, arrived_at_us, self.names,
                 runtime.core.settings, streams_body,
             )  # fmt: skip
         except MalformedRequestError as error:
