Ignore SIGHUP from the shell of run until the program handles it, and at its exit

Cause: outside the program's handlers the system's default holds. Before the first line of Python nothing can be set by the program; at the end asyncio's loop and the interpreter put the defaults back.

An ignored signal stays ignored over exec (POSIX), so run begins with a trap; nothing is missed, as the configuration is read after the handler stands. A process whose shutdown is complete removes its handlers and ignores signals. The rig starts brokers by the same command, which a test compares.

Changed test: run had to begin with exec; now its last command has to, and only this trap may stand before it. That one process is left is checked as before.

The shell's own first millisecond stays open.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -50,6 +50,7 @@
     from harriertide.objects.service import ObjectService
 
 EXIT_UNUSABLE = 2  # the configuration or the operator's file can't be used
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
 class Daemon:
@@ -257,11 +258,25 @@
         await self.stopping.wait()
         await self.stop()
         log.log_final("counters", **self.counters())
+        _ignore_signals(loop)
 
     def _log_counters(self) -> None:
         log("counters", **self.counters())
 
 
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Disregard signals from now on: the shutdown is complete, and only the interpreter's exit is left.
+
+    Guards against a signal that ends the process in the last moment: as the loop closes and the interpreter
+    exits, they put the system's defaults back, and the orderly end would be reported as a death by signal.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)  # else the loop puts the default back as it closes
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+
 def _resume_garbage_collection() -> None:
     """Collect again, as the start is over (see `main._start_lean`).
 
--- a/harriertide/lab/rigs/single_broker.py
+++ b/harriertide/lab/rigs/single_broker.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import shlex
 import signal
 import socket
 import sys
@@ -67,6 +68,14 @@
     }  # fmt: skip
 
 
+def broker_command(program: str = "harriertide") -> str:
+    """The shell command that starts a broker's process, as `run` of the deploy file does.
+
+    :param program: the module that is the broker
+    """
+    return f"trap '' HUP; exec {shlex.quote(sys.executable)} -m {program}"
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorCall:
     """How an operator's call was answered.
@@ -189,7 +198,7 @@
         }  # fmt: skip
         with (self.folder / f"broker-{number}.log").open("wb") as log_file:
             handle = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", program, env=environment, stderr=log_file,
+                "/bin/sh", "-c", broker_command(program), env=environment, stderr=log_file,
                 pass_fds=[self.listener.fileno()],
             )  # fmt: skip
         process = BrokerProcess(handle, operator_port)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -16,10 +16,12 @@
 
 import pytest
 
+from harriertide.lab.rigs.single_broker import broker_command
 from harriertide.platform.endpoint_watch import NOTIFICATION_DEADLINE_S
 from tests.test_net import WIRE
 
 ROOT = Path(__file__).parent.parent
+SIGNAL_INTERVAL_S = 0.001  # between signals that are sent at all moments
 READY_S = 10.0  # 90 % of restarted brokers have to be ready by then
 # The interpreter loads this module before the program. It reports each start of another process and each Unix
 # socket. The event loop's own socket pair is never bound or connected and so is not reported.
@@ -35,15 +37,26 @@
 """
 
 
+def run_command() -> str:
+    """The command that starts a broker, with the interpreter of this environment: CI installs elsewhere."""
+    command = str(tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"])
+    return command.replace(".venv/bin/python", shlex.quote(sys.executable))
+
+
+def test_the_rig_starts_brokers_as_the_deploy_file_does() -> None:
+    """Guards against a soak of processes that are started in another way than those in service."""
+    assert broker_command() == run_command()
+
+
 def test_run_ends_in_one_process_that_starts_no_other(tmp_path: Path) -> None:
     """The platform signals only the process that it starts; a shell or a child process would outlive it."""
-    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-    assert command.startswith("exec ")
+    command = run_command()
+    setup, _, last_command = command.rpartition("; ")
+    assert setup in ("", "trap '' HUP") and last_command.startswith("exec ")
     (tmp_path / "sitecustomize.py").write_text(AUDIT_HOOK)
     file = tmp_path / "config.json"
     configuration = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1"}
     file.write_text(json.dumps({**configuration, "settings": WIRE}))
-    command = command.replace(".venv/bin/python", shlex.quote(sys.executable))  # CI installs elsewhere
     environment = {**os.environ, "LB_CONFIG": str(file), "PYTHONPATH": str(tmp_path)}
     shell = ["/bin/sh", "-c", command]
     daemon = subprocess.Popen(shell, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
@@ -77,7 +90,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
 
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "harriertide"],
+            ["/bin/sh", "-c", run_command()],
             cwd=ROOT,
             env={**os.environ, "LB_CONFIG": str(file)},
             stderr=subprocess.PIPE,
@@ -170,16 +183,18 @@
     assert "Traceback" not in broker.output
 
 
+def has_loaded(proc: Path, extension: str) -> bool:
+    """Whether a broker has loaded an extension module; a fork that has not called exec yet maps it too."""
+    is_broker = (proc / "cmdline").read_text().split("\0")[1:3] == ["-m", "harriertide"]
+    return is_broker and extension in (proc / "maps").read_text()
+
+
 def test_sighup_during_a_start_rereads_the_configuration_and_ends_nothing(tmp_path: Path) -> None:
     """Guards against a SIGHUP that ends a process that is still importing its modules."""
     broker = BrokerProcess(tmp_path, "127.0.0.1:1")
     proc = Path("/proc") / str(broker.process.pid)
     started_at = time.monotonic()
-    # the broker has loaded an extension module; a fork that has not called exec yet maps that module too
-    while (
-        "_http_parser" not in (proc / "maps").read_text()
-        or "harriertide" not in (proc / "cmdline").read_text()
-    ):
+    while not has_loaded(proc, "_http_parser"):
         assert broker.process.poll() is None and time.monotonic() - started_at < READY_S
     broker.process.send_signal(signal.SIGHUP)
     broker.port()
@@ -187,6 +202,42 @@
     assert broker.stop() == 0
 
 
+def ignores_sighup(proc: Path) -> bool:
+    """Whether a process ignores SIGHUP, by the mask that the system shows of it."""
+    rows = (proc / "status").read_text().splitlines()
+    mask = next(row.split()[1] for row in rows if row.startswith("SigIgn:"))
+    return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+
+
+def test_sighup_at_any_moment_of_a_start_ends_nothing(tmp_path: Path) -> None:
+    """Guards against a SIGHUP that ends a process before its program runs: the interpreter's own start."""
+    broker = BrokerProcess(tmp_path, "127.0.0.1:1")
+    proc = Path("/proc") / str(broker.process.pid)
+    deadline_s = time.monotonic() + READY_S
+    while not ignores_sighup(proc):  # the shell's own start is not ours
+        assert broker.process.poll() is None and time.monotonic() < deadline_s
+    while not has_loaded(proc, "_http_parser"):
+        assert broker.process.poll() is None and time.monotonic() < deadline_s
+        broker.process.send_signal(signal.SIGHUP)
+        time.sleep(SIGNAL_INTERVAL_S)
+    broker.port()
+    broker.read_until("the configuration file is in force")
+    assert broker.stop() == 0
+
+
+def test_sighup_behind_sigterm_does_not_change_the_exit_status(tmp_path: Path) -> None:
+    """Guards against an orderly end that is reported as a death by signal."""
+    broker = BrokerProcess(tmp_path, "127.0.0.1:1")
+    broker.port()
+    broker.process.send_signal(signal.SIGTERM)
+    deadline_s = time.monotonic() + READY_S
+    while broker.process.poll() is None:
+        assert time.monotonic() < deadline_s
+        broker.process.send_signal(signal.SIGHUP)
+        time.sleep(SIGNAL_INTERVAL_S)
+    assert broker.process.returncode == 0
+
+
 def test_brokers_that_start_together_while_discovery_is_down_become_ready_in_time(tmp_path: Path) -> None:
     """Six brokers start at once; all must be ready within READY_S."""
     with socket.socket() as discovery:
