Have the rig's node send its answer whole before it closes behind it

Cause: the rig's own. Under the fault close a node aborted its connection behind a long answer, with up to 64 KiB in the buffer that the system had not taken. Evidence: the request's node was in that fault, logged the answer 7 ms before the client's end, and the broker counted answers_broken=1, which only a node that ends a long answer early does.

The check is as strict as before: an answer that the broker cuts off counts as lost, and resets under a request are played as before.

--- a/harriertide/lab/rigs/nodes.py
+++ b/harriertide/lab/rigs/nodes.py
@@ -87,6 +87,9 @@
                 if not await self._answer(fields, reader, writer):
                     break
                 is_used = True
+            else:  # aborting would cut off what waits in the buffer
+                writer.close()
+                await writer.wait_closed()
         writer.transport.abort()
 
     async def _answer(
