Tell a node's silence from a pause of the broker itself

A broker that was not run for a moment refused requests of a shard with no node, though its nodes answered, and answered 503 to good responses. In tests beside busy processes: test_a_large_response... got 503, test_bytes_on_an_idle... found three connections in place of two.

Cause: the 60 ms for the rest of a response (NodeConnection._on_stall) and the settings' 250 ms for a connection (NodeClient._connect, probe) were judged by the clock alone.

Now silence is counted in ticks of a loop that runs: a late tick counts as one, and what has arrived by the last one is handled before the node is judged. The bounds and the clients' deadlines are as they were.

--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 
 import aiohttp
@@ -21,6 +21,7 @@
 from harriertide.http.node_pool import NodeConnectionPool
 from harriertide.http.node_response import IncomingResponse, Reply, classify_response
 from harriertide.http.request_format import Body, Headers, encode_request_head, header_rows
+from harriertide.http.silence_timer import SilenceTimer
 
 # An idle connection is kept for this fraction of the node's idle timeout: a request that is sent while the
 # node closes the connection would end in a reset.
@@ -149,7 +150,7 @@
         await self._await_exclusive(attempt)
         connection = self.pool.take_idle(address)
         if connection is None:  # not `or`: a connection is a queue of messages, and falsy while it is empty
-            connection = await self._connect(address, attempt, timeout)
+            connection = await self._connect(address, timeout)
         exchange.connection = connection
         outcome = attempt.may_write()
         if outcome is not None:
@@ -169,20 +170,27 @@
         if exchange.response is None or not exchange.response.detached:
             self.pool.release(connection)
 
-    async def _connect(self, address: str, attempt: Attempt, timeout: asyncio.Timeout) -> NodeConnection:
+    async def _connect(self, address: str, timeout: asyncio.Timeout) -> NodeConnection:
         """Open a new connection within the connect timeout."""
-        clock = attempt.runtime.clock
-        deadline = clock.loop_time(attempt.stop_at_us)
-        timeout.reschedule(min(deadline, clock.loop_time(clock.now_us() + self.connect_us)))
-        connection = await self.pool.connect(address)
+        with self._silence_ends(timeout):
+            connection = await self.pool.connect(address)
         if connection is None:
             # The outcome is `rejected`: the node is not at fault, so this must not count against its health.
             self.counts["no_room"] += 1
             raise AttemptWithheldError("rejected", "all connections to nodes are in use")
         self.counts["connected"] += 1
-        timeout.reschedule(deadline)
         return connection
 
+    @contextmanager
+    def _silence_ends(self, timeout: asyncio.Timeout) -> Iterator[None]:
+        """Let a timeout expire if a node does not answer within the connect timeout."""
+        loop = asyncio.get_running_loop()
+        timer = SilenceTimer(loop, self.connect_us / 1e6, lambda: timeout.reschedule(loop.time()))
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     async def _await_exclusive(self, attempt: Attempt) -> None:
         """Wait until the attempt may be written, and no other attempt of its request can still run.
 
@@ -217,15 +225,16 @@
             return "rejected"
         connection: NodeConnection | None = None
         try:
-            async with asyncio.timeout(self.connect_us / 1_000_000):
-                connection = self.pool.take_idle(address)
-                if connection is None:  # not `or`: see _acquire
-                    connection = await self.pool.connect(address)
-                if connection is None:
-                    return "rejected"
-                connection.send_request(encode_request_head("GET", target, []), None)
-                message, content = await connection.read()
-                await content.read()
+            async with asyncio.timeout(None) as timeout:
+                with self._silence_ends(timeout):
+                    connection = self.pool.take_idle(address)
+                    if connection is None:  # not `or`: see _acquire
+                        connection = await self.pool.connect(address)
+                    if connection is None:
+                        return "rejected"
+                    connection.send_request(encode_request_head("GET", target, []), None)
+                    message, content = await connection.read()
+                    await content.read()
         except TimeoutError:
             return "timeout"
         except (aiohttp.ClientError, HttpProcessingError, OSError):
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -28,6 +28,7 @@
     closes_connection,
     declared_length,
 )
+from harriertide.http.silence_timer import SilenceTimer
 
 READ_AHEAD_BYTES = 64 * 1024  # of a response body; above it, reading pauses until the consumer catches up
 SOCKET_READ_BYTES = 32 * 1024  # maximum per read: several copies of the data read are in memory at once
@@ -87,7 +88,7 @@
         self._is_chunked = False
         self._body_tail = b""  # the last len(END_OF_CHUNKS) bytes of a chunked body
         self._has_received_eof = False
-        self._stall_timer: asyncio.TimerHandle | None = None
+        self._stall_timer: SilenceTimer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the transport. Writing counts as paused while any byte has not been passed to the kernel."""
@@ -310,12 +311,14 @@
         """
         if self._stall_timer is not None:
             self._stall_timer.cancel()
-        self._stall_timer = (
-            self._loop.call_at(self._loop.time() + STALL_TIMEOUT_S, self._on_stall) if is_enabled else None
-        )
+        self._stall_timer = SilenceTimer(self._loop, STALL_TIMEOUT_S, self._on_stall) if is_enabled else None
 
     def _on_stall(self) -> None:
         self._stall_timer = None
+        transport = self.transport
+        if isinstance(transport, asyncio.ReadTransport) and not transport.is_reading():
+            self._set_stall_timer(True)  # the node may have sent more, which waits for the consumer
+            return
         self._fail(MalformedResponseError("response stalled before it was complete"))
 
     def _on_surplus(self) -> None:
