Count and log the pauses of the event loop, with the processor time in them

No log or counter tells whether the program held the loop or the machine did not run the process.

The event loop's selector is measured: the time from one poll to the next, and by how much a poll returns late. The longest pause and its processor time are counters; one of 0.15 s or more is a line with user and system time and how often another process was run in its place. It costs two readings of the monotonic clock a turn and a getrusage each 20 ms; no timer, no thread.

Measured: tests with a callback that computes (its time shows as user time) and a process that is stopped (none shows).

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -27,6 +27,7 @@
 from harriertide.engine.clock import Clock
 from harriertide.engine.counters import counter_fields
 from harriertide.engine.log import capture_library_logs, log
+from harriertide.engine.loop_monitor import LoopMonitor, monitored_loop
 from harriertide.engine.runtime import Runtime
 from harriertide.http.body_stream import BodyBudget
 from harriertide.http.connection_table import ConnectionTable
@@ -60,6 +61,7 @@
     :param operator_file: of the object front; None: there is none.
     :param maintenance_overrides: arguments of the maintenance service, in place of the disk and the wall
         clock: for experiments.
+    :param loop_monitor: measures the pauses of the event loop; None: they are not measured.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         config: Config | None,
         operator_file: OperatorFile | None,
         maintenance_overrides: dict[str, Any] | None = None,
+        loop_monitor: LoopMonitor | None = None,
     ) -> None:
         initial = find_initial_settings(config, operator_file)
         self.config = config
@@ -80,6 +83,7 @@
         self.peers: Peers | None = None
         self.objects: ObjectService | None = None
         self.maintenance: MaintenanceService | None = None
+        self._loop_monitor = loop_monitor
         self._compose_core(initial)
         if config is not None:
             self._compose_platform_side(config, initial)
@@ -180,6 +184,8 @@
             "clients": self.clients.counts,
             "probes": self.probes.counts,
         }
+        if self._loop_monitor is not None:
+            parts["loop"] = self._loop_monitor.counts
         if self.watch is not None:
             parts["watch"] = self.watch.counts
         if self.peers is not None:
@@ -315,8 +321,10 @@
     """
     capture_library_logs()
 
+    monitor = LoopMonitor()
+
     async def main() -> None:
-        daemon = Daemon(config, operator_file, maintenance_overrides)
+        daemon = Daemon(config, operator_file, maintenance_overrides, monitor)
         await _serve(daemon, environment, record_path)
 
     try:
@@ -328,7 +336,8 @@
         config = None
         if environment.get("LB_CONFIG") or operator_file is None:
             config = read_config(environment)
-        asyncio.run(main())
+        with asyncio.Runner(loop_factory=lambda: monitored_loop(monitor)) as runner:
+            runner.run(main())
     except (SettingsError, OSError, sqlite3.Error) as error:
         print(f"harriertide: {error}", file=sys.stderr)
         return EXIT_UNUSABLE
