Refuse a plan whose state is no table with the key

POST /apply with such a state got a 500 and a trace. Cause: read_state asks for sections before it looks whether it has a table. Four new cases each raised AttributeError before and are answered 400 now; test_config passes.

--- a/harriertide/config/operator_file.py
+++ b/harriertide/config/operator_file.py
@@ -126,6 +126,8 @@
 
     :raises OperatorFileError: naming the key that is wrong.
     """
+    if not isinstance(raw, dict):
+        raise OperatorFileError("state: must be a table")
     state: State = {}
     for section, keys in NAMED_SECTION_KEYS.items():
         rows = read_named_rows(raw.get(section, {}), keys, section)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -13,6 +14,7 @@
 import pytest
 
 from harriertide.config import client
+from harriertide.config.admin import AdminApi
 from harriertide.config.decision_settings import build_settings
 from harriertide.config.errors import AdminUnavailableError
 from harriertide.config.operator_file import read_state
@@ -158,6 +160,19 @@
             client.call_admin("GET", address, "/state")
 
 
+@pytest.mark.parametrize("state", [[], "x", 1, None])
+def test_a_plan_whose_state_is_no_table_is_refused_with_the_key(state: object) -> None:
+    """Guards against a plan by hand that is answered as a fault of the daemon."""
+
+    async def main() -> None:
+        admin = AdminApi(dict, lambda new_state: None)
+        body = json.dumps({"from": "", "state": state}).encode()
+        response = admin._apply(body)
+        assert response.status == 400 and "state: must be a table" in str(response.text)
+
+    asyncio.run(main())
+
+
 def test_a_grade_that_is_taken_out_keeps_the_number_of_its_plan() -> None:
     """Requests that are open name plans by number: a number may never mean another grade."""
     state = read_state({"grades": {"gold": {"reserve": 5, "worth": 2}}})
