Apply an update of a library's node list whole or not at all

NodeList.update raised at an unknown state with the nodes before it changed, of which the core was not told. Cause: the check stood in the loop that changes the list. The new test found the new address before; test_library passes now.

--- a/harriertide/library/node_sources.py
+++ b/harriertide/library/node_sources.py
@@ -74,11 +74,12 @@
         """Change nodes of the list; the core is notified in this turn of the event loop.
 
         :param nodes: as they are from now on, live, draining or gone
-        :raises ValueError: a state is none of these
+        :raises ValueError: a state is none of these; no node was changed
         """
         for node in nodes:
             if node.state not in _NODE_STATES:
                 raise ValueError(f"node {node.node_id}: state must be live, draining or gone")
+        for node in nodes:
             if node.state == "gone":
                 self._nodes.pop(node.node_id, None)
             else:
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -149,6 +149,19 @@
     play(work)
 
 
+def test_an_update_of_the_node_list_applies_whole_or_not_at_all() -> None:
+    """Guards against a list that differs from what the core was told, behind an error in one of its nodes."""
+
+    async def work(broker: Broker, ran: list[str]) -> None:
+        assert isinstance(broker.source, NodeList)
+        moved = replace(NODES[0], address="127.0.0.1:1")
+        with pytest.raises(ValueError, match="b2"):
+            broker.source.update(moved, replace(NODES[1], node_id="b2", state="up"))  # type: ignore[arg-type]
+        assert broker.source.find_address("b1") == NODES[0].address
+
+    play(work)
+
+
 def test_the_client_of_nodes_asks_the_core_before_it_writes_and_names_faults() -> None:
     async def work(broker: Broker, ran: list[str]) -> None:
         box = StubServer()
