Check each header that is kept with an object, not the first alone

An Expires that is no UTF-8 was stored behind a good Cache-Control (200), and refused alone. Cause: values were encoded inside any(), which stops at the first. The new test raised nothing before; test_object_requests passes now.

--- a/harriertide/objects/metadata.py
+++ b/harriertide/objects/metadata.py
@@ -26,7 +26,8 @@
             metadata[key] = f"{metadata[key]},{value}" if key in metadata else value
     try:
         size = sum(_metadata_bytes(name, value) for name, value in metadata.items())
-        any(value.encode() for value in standard.values())
+        for value in standard.values():
+            value.encode()
     except UnicodeEncodeError:  # bytes that are no UTF-8 can't be given back unchanged
         raise S3Error("InvalidArgument", "Headers kept with an object must be UTF-8") from None
     if size > MAX_USER_METADATA_BYTES:
--- a/tests/test_object_requests.py
+++ b/tests/test_object_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from harriertide.objects.errors import S3Error
+from harriertide.objects.metadata import stored_headers
 from harriertide.objects.ranges import parse_range
 from harriertide.objects.xml_format import parse_complete
 
@@ -56,3 +57,10 @@
     with pytest.raises(S3Error) as error:
         parse_complete(body)
     assert error.value.code == "MalformedXML"
+
+
+def test_each_header_kept_with_an_object_must_be_utf_8() -> None:
+    """Guards against a check that looks at the first header only."""
+    unreadable = b"\xff".decode("utf-8", "surrogateescape")
+    with pytest.raises(S3Error, match="UTF-8"):
+        stored_headers({"Cache-Control": "no-store", "Expires": unreadable})
