--- a/harriertide/http/accept_control.py
+++ b/harriertide/http/accept_control.py
@@ -89,9 +89,8 @@
     def end_accept(self) -> None:
         """An accepted connection was reported to the connection table, or has failed."""
         self.unreported_count -= 1
-        if self._queue_empty_at_s is not None and not self.unreported_count:
-            self._check_queue()
         self.resume_if_room()
+        self.check_queue()
 
     def pause(self, listener: PausableListener) -> None:
         """Resume this listener, which has stopped accepting, once there is room."""
@@ -102,6 +101,13 @@
         if self._timer is None:
             self._schedule_check()
 
+    def check_queue(self) -> None:
+        """Stop counting the time in the queue once all that waited are in the connection table."""
+        if self._queue_empty_at_s is None or self._paused or self.unreported_count:
+            return
+        if not self.has_waiting_connections:
+            self._queue_empty_at_s = None
+
     def resume_if_room(self) -> None:
         """Let the paused listeners accept if there is room."""
         if not self._paused or not self._has_room():
@@ -110,6 +116,7 @@
         self._paused.clear()
         for listener in listeners:
             listener.resume()
+        self.check_queue()
 
     def queue_time_s(self, transport: asyncio.BaseTransport | None) -> float:
         """How long the request on a connection that was just accepted has waited; 0 if none has arrived."""
@@ -129,11 +136,6 @@
             self._timer.cancel()
             self._timer = None
 
-    def _check_queue(self) -> None:
-        """Stop counting the time in the queue once no connection waits."""
-        if not self._paused and not self.has_waiting_connections:
-            self._queue_empty_at_s = None
-
     # --- while listeners are paused ------------------------------------------------------------
 
     def _schedule_check(self) -> None:
--- a/harriertide/http/listener.py
+++ b/harriertide/http/listener.py
@@ -130,11 +130,13 @@
             try:
                 connection, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                break
             except OSError as error:
                 self._retry_later(error)
                 return
             self._set_up(connection)
+        if self._control is not None:
+            self._control.check_queue()
 
     def _set_up(self, connection: socket.socket) -> None:
         connection.setblocking(False)
--- a/tests/test_accept_control.py
+++ b/tests/test_accept_control.py
@@ -172,7 +172,9 @@
             send_response(request)
         await broker.wait_until_settled()
         assert broker.node.requests.empty()
-        assert not broker.daemon.clients.accept_control.has_waiting_connections
+        control = broker.daemon.clients.accept_control
+        assert not control.has_waiting_connections
+        assert control.queue_time_s(None) == 0  # the next one has not waited
 
     run_with_broker(scenario, limits=LIMITS)
 
