--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -261,6 +261,8 @@
         if early_reloads.are_awaited:  # only now: a start goes by the configuration that it began with
             self.reload(environment)
         _resume_garbage_collection()
+        if self._loop_monitor is not None:
+            self._loop_monitor.is_logging = True
         await self.stopping.wait()
         await self.stop()
         log.log_final("counters", **self.counters())
--- a/harriertide/engine/loop_monitor.py
+++ b/harriertide/engine/loop_monitor.py
@@ -40,13 +40,15 @@
 
 
 class LoopMonitor:
-    """Counts the pauses of one event loop and logs the long ones.
+    """Counts the pauses of one event loop, and logs the long ones once the process serves.
 
     :ivar counts: `longest_pause_ms`, `long_pauses`, and `processor_ms` in the longest pause
+    :ivar is_logging: a process that starts loads its modules on the loop, and nobody waits for it yet
     """
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
+        self.is_logging = False
         self._longest_s = 0.0
         self._usage = ProcessUsage.read()
         self._usage_read_at_s = time.monotonic()
@@ -77,6 +79,7 @@
             self.counts["processor_ms"] = user_ms + system_ms
         if pause_s >= LOGGED_PAUSE_S:
             self.counts["long_pauses"] += 1
+        if pause_s >= LOGGED_PAUSE_S and self.is_logging:
             log(
                 "the event loop stood still",
                 pause_ms=round(1000 * pause_s),
