Reword the docstrings of startup, shutdown, reload and upgrades in plain terms

Docstrings and comments of six modules of cli/ said what they do in sentences of our own. Only these changed: the syntax trees without docstrings are equal file by file, and no word that leaves the process is among them.

--- a/harriertide/cli/early_reload.py
+++ b/harriertide/cli/early_reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP while the process starts: held until it has started; else it ends the process."""
+"""Records SIGHUP during the start of a process, so that the configuration is reloaded after the start."""
 
 from __future__ import annotations
 
@@ -8,23 +8,23 @@
 
 
 class EarlyReloads:
-    """Whether a reload was asked for before the process could carry it out."""
+    """Whether SIGHUP was received before the process could reload its configuration."""
 
     def __init__(self) -> None:
         self.are_awaited = False
-        self._handler_before: Any = None  # as signal.signal returns it; None: nothing is held
+        self._handler_before: Any = None  # as signal.signal returns it; None: SIGHUP is not recorded
 
     def hold(self) -> None:
-        """Note each SIGHUP from now on, until the started process takes it over.
+        """Record SIGHUP from now on, until the process installs its own handler.
 
-        Guards against a new configuration that reaches a process which has just been started: the system ends
-        a process by SIGHUP that does not handle it, and the file may have been read already.
+        Without a handler, SIGHUP would end a process that has just been started; if it were ignored, a change
+        of the configuration file after the file was read would be missed.
         """
         if self._handler_before is None:
             self._handler_before = signal.signal(signal.SIGHUP, self._note)
 
     def release(self) -> None:
-        """Have SIGHUP end the process as usual: its command rereads nothing."""
+        """Restore the previous handling of SIGHUP, for commands that do not reload anything."""
         if self._handler_before is not None:
             signal.signal(signal.SIGHUP, self._handler_before)
             self._handler_before = None
--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -1,7 +1,7 @@
-"""Upgrade in place: a process of a broker as one of several, which replace each other while they serve.
+"""Upgrade in place: the processes of a broker replace each other while they serve.
 
-The lease of the active process (`lifecycle/active_process`) says when; this module says what the process does
-then: export its state, stop accepting, finish what it has, go on in the place of another, accept again.
+The lease of the active process (`lifecycle/active_process`) decides when. This module carries out what the
+process then does: export or import state, stop accepting, finish its requests, accept again.
 """
 
 from __future__ import annotations
@@ -31,25 +31,25 @@
 from harriertide.platform.configuration import BadConfigError, Config
 from harriertide.platform.endpoint_directory import EndpointDirectory
 
-# A superseded process may have at least this part of the connections to nodes: it has requests to finish, and
-# retries of them need connections too.
+# Minimum fraction of the connections to nodes for a superseded process, which finishes its requests and may
+# have to retry them.
 SUPERSEDED_NODE_CONNECTIONS_RATIO = 1 / 8
-# The new process may have at least this part of each side's connections, whatever the other one keeps.
+# Minimum fraction of each side's connections for the new process, however many the other one keeps.
 MIN_ACTIVE_CONNECTIONS_RATIO = 1 / 4
-ACCEPT_RETRY_S = 0.1  # between attempts to accept again: clients wait meanwhile
-MAX_CLOCK_DIFFERENCE_US = 1_000_000  # where two processes' clocks differ by more, a record's times mislead
+ACCEPT_RETRY_S = 0.1  # between attempts to accept again; clients wait meanwhile
+MAX_CLOCK_DIFFERENCE_US = 1_000_000  # beyond this, the times in a record cannot be used
 
 
 def meeting_folder(name: str) -> Path:
-    """Where the processes of one broker meet.
+    """Return the folder that the processes of one broker share.
 
-    :param name: of the broker; any text, as only its hash goes into the path.
+    :param name: name of the broker; any text, as the path contains only its hash
     """
     return Path(tempfile.gettempdir()) / f"harriertide-{xxh3_64_hexdigest(name.encode())}"
 
 
 class UpgradableProcess(Protocol):
-    """What an upgrade in place needs of the process."""
+    """The parts of a process that an upgrade in place uses."""
 
     config: Config | None
     lifecycle: Lifecycle
@@ -60,25 +60,25 @@
     client: NodeClient
 
     def apply_lifecycle(self) -> None:
-        """Have all parts go by the lifecycle as it is now."""
+        """Apply the current state of the lifecycle to all parts."""
 
     def apply_limits(self) -> None:
-        """Have both sides' connections go by the limits, as far as `share` leaves them to this process."""
+        """Apply this process's share of the limits to the connections of clients and to nodes."""
 
     def settings_in_force(self) -> api.Settings:
-        """The settings of the configuration, as far as they hold for this process."""
+        """Return the configured settings, less what a newer process of this broker now provides."""
 
     async def start_accepting(self) -> None:
         """Accept the platform's clients, and messages of other brokers."""
 
     def stop_accepting(self) -> None:
-        """Accept neither any more."""
+        """Stop accepting clients and messages of other brokers."""
 
 
 class InPlaceUpgrade:
-    """Carries out on a process what the lease of the active process asks of it.
+    """Carries out the transitions between active and superseded for one process.
 
-    :raises BadConfigError: where the folder in which processes meet can't be used.
+    :raises BadConfigError: the shared folder of the broker's processes cannot be used
     """
 
     def __init__(self, process: UpgradableProcess, config: Config) -> None:
@@ -101,17 +101,17 @@
         process.runtime.check_fence = self.lease.check_fence
 
     def share(self, limits: Limits) -> Limits:
-        """What this process may have of the broker's limits, as long as two share them."""
+        """Return this process's share of the broker's limits."""
         if self._is_alone:
             return limits
         return self._own_share or limits.half()
 
     def stop_reclaiming(self) -> None:
-        """The process was asked to stop: it does not accept again where the newer one dies."""
+        """Do not take over again from a newer process that dies, as this process was asked to stop."""
         self.lease.stop_reclaiming()
 
     def close(self) -> None:
-        """Leave the processes of this broker."""
+        """Unregister this process."""
         if self._reopening is not None:
             self._reopening.cancel()
         self.lease.close()
@@ -119,9 +119,9 @@
     # --- taking over ---------------------------------------------------------------------------
 
     async def take_over(self) -> bool:
-        """Go on in the place of the active process.
+        """Become the active process, with the state of the previous one if it left a usable record.
 
-        :returns: False: with no state, as there was no active process or it left no record that can be used.
+        :returns: whether there was such a record
         """
         data = await self.lease.take_over()
         if data is not None and self._has_imported(data):
@@ -134,7 +134,7 @@
         return False
 
     def _has_imported(self, data: bytes) -> bool:
-        """Go on from a record; False, with the reason in the log, where it can't be used."""
+        """Import a record; return False, and log the reason, if it cannot be used."""
         try:
             now_s = asyncio.get_running_loop().time()
             self._import(decode(data, self._broker, self.lease.epoch, now_s))
@@ -142,8 +142,7 @@
             log("the record of the process before is set aside", reason=str(error))
             return False
         except Exception:
-            # Guards against a start that ends on what another release has left: whatever is wrong with the
-            # record, the process serves without it.
+            # The record may come from another release. Whatever is wrong with it must not end the start.
             log("the record of the process before could not be used", trace=traceback.format_exc())
             return False
         return True
@@ -168,22 +167,21 @@
     # --- being taken over from -----------------------------------------------------------------
 
     def _release(self, claimed_epoch: int) -> bytes:
-        """Accept nothing more and export the state as it is then; none of it is given out here afterwards."""
+        """Stop accepting, and export the state, which this process no longer spends afterwards."""
         process = self._process
         process.stop_accepting()
-        process.runtime.flush()  # what has come until now counts
+        process.runtime.flush()  # the record includes all events so far
         try:
             data = self._export(claimed_epoch)
         except Exception:
-            # Guards against two active processes: without a record the newer one starts with no state, but
-            # this one must not go on beside it.
+            # The newer process starts without state then, but this one must not stay active beside it.
             log("the state could not be written down", trace=traceback.format_exc())
             data = b""
         self._supersede()
         return data
 
     def _export(self, claimed_epoch: int) -> bytes:
-        """The hand-over record for the process that claims."""
+        """Return the hand-over record for the claiming process."""
         process = self._process
         clock = process.runtime.clock
         scheduler = process.core.scheduler
@@ -204,7 +202,7 @@
         )
 
     def _supersede(self) -> None:
-        """A newer process is the active one; what was accepted here is finished here."""
+        """Finish accepted requests only, as a newer process is the active one."""
         process = self._process
         process.stop_accepting()
         process.lifecycle.mark_superseded()
@@ -222,7 +220,7 @@
     # --- going on again ------------------------------------------------------------------------
 
     def _reclaim(self) -> None:
-        """The newer process has died: accept again, with all of the limits that are free."""
+        """Accept again, with all free limits, as the newer process has died."""
         process = self._process
         self._own_share = None
         process.lifecycle.mark_active_again()
@@ -232,10 +230,9 @@
         self._reopening = asyncio.get_running_loop().create_task(self._accept_again())
 
     async def _accept_again(self) -> None:
-        """Accept clients and peers again, however often it takes, for as long as this process is in charge.
+        """Open the listeners again, with retries, as long as this process is the active one.
 
-        Guards against a broker that is in charge, says that it is ready and accepts nobody: an address may
-        not be free yet, or the process may be superseded again while its listeners open.
+        An address may not be free yet, and the process may be superseded again while its listeners open.
         """
         process = self._process
         loop = asyncio.get_running_loop()
@@ -264,19 +261,16 @@
         return config.limits
 
     def _kept_client_count(self) -> int:
-        """Connections of clients, with those that were accepted and are not heard of yet.
-
-        Guards against a limit that closes these: they have sent their requests already.
-        """
+        """Return the number of client connections, including accepted ones not yet in the table."""
         return len(self._process.clients) + self._process.clients.accept_control.unreported_count
 
     def _kept_node_connection_count(self) -> int:
-        """Connections to nodes that a superseded process finishes its requests with."""
+        """Return the number of connections to nodes that a superseded process may use."""
         minimum = int(self._limits().max_node_connections * SUPERSEDED_NODE_CONNECTIONS_RATIO)
         return max(len(self._process.client.pool), minimum)
 
     def _limits_beside(self, kept_client_count: int, kept_node_connection_count: int) -> Limits:
-        """What is left beside a process that keeps so many connections."""
+        """Return the limits left beside a process that keeps these numbers of connections."""
         limits = self._limits()
         least_clients = int(limits.max_client_connections * MIN_ACTIVE_CONNECTIONS_RATIO)
         least_nodes = int(limits.max_node_connections * MIN_ACTIVE_CONNECTIONS_RATIO)
--- a/harriertide/cli/listeners.py
+++ b/harriertide/cli/listeners.py
@@ -18,9 +18,9 @@
 
 
 def find_client_address(config: Config) -> Address | socket.socket:
-    """Where clients of the platform connect: an address, or the listening socket that the platform holds.
+    """Return where clients of the platform connect: an address, or the inherited listening socket.
 
-    :raises BadConfigError: where the inherited descriptor is another socket.
+    :raises BadConfigError: the inherited descriptor is not that socket
     """
     if config.inherited_descriptor is None:
         return config.listen
@@ -31,11 +31,11 @@
 
 
 class Listeners:
-    """What one process listens on.
+    """The open listeners of a process.
 
-    :ivar client_address: where clients of the platform connect; None: there is no platform.
-    :ivar servers: those of clients and of the object front, in the order of their opening.
-    :ivar operator_server: the operators' own, which outlasts the others in a shutdown.
+    :ivar client_address: where clients of the platform connect; None: the platform's front is not configured
+    :ivar servers: listeners for clients and of the object front, in the order in which they were opened
+    :ivar operator_server: listener for operators, closed after the others in a shutdown
     """
 
     def __init__(self) -> None:
@@ -45,7 +45,7 @@
         self._client_server: AcceptingServer | None = None
 
     async def open(self, at: Address | socket.socket, protocol: TrackedServer) -> AcceptingServer:
-        """Accept connections at an address, or on a socket that listens already."""
+        """Accept connections at an address, or on an open listening socket."""
         server = await listen(at, protocol, protocol.table.accept_control)
         self.servers.append(server)
         host, port = server.sockets[0].getsockname()[:2]
@@ -65,7 +65,7 @@
         self._client_server = await self.open(self.client_address, protocol)
 
     def close_for_clients(self) -> None:
-        """Accept none of them any more; those that were accepted are kept."""
+        """Stop accepting the platform's clients; open connections are kept."""
         if self._client_server is None:
             return
         self._client_server.close()
@@ -77,7 +77,7 @@
     async def open_for_operators(self, at: Address, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
         """Accept calls of operators.
 
-        :raises BadConfigError: where the address can't be had.
+        :raises BadConfigError: the address cannot be used
         """
         host, port = at
         try:
@@ -87,22 +87,22 @@
         log("serves operators", on=f"{host}:{port}")
 
     def close_for_operators(self) -> None:
-        """Accept no more calls of operators."""
+        """Stop accepting calls of operators."""
         if self.operator_server is not None:
             self.operator_server.close()
 
     # --- all of them ---------------------------------------------------------------------------
 
     def stop_accepting(self) -> None:
-        """Accept nothing more but calls of operators; connections that were accepted are kept."""
+        """Stop accepting all connections except those of operators; open connections are kept."""
         for server in self.servers:
             server.close()
 
     def port(self, index: int) -> int:
-        """The port of a server, where the system chose it."""
+        """Return the port of a server, which the system may have chosen."""
         return int(self.servers[index].sockets[0].getsockname()[1])
 
     def operator_port(self) -> int:
-        """The port of the operators' address, where the system chose it."""
+        """Return the port of the operators' address, which the system may have chosen."""
         assert self.operator_server is not None
         return int(self.operator_server.sockets[0].getsockname()[1])
--- a/harriertide/cli/reload.py
+++ b/harriertide/cli/reload.py
@@ -1,7 +1,7 @@
-"""Reload of the configuration file, on SIGHUP: reread, refuse a bad file, put a good one in force.
+"""Reload of the configuration file on SIGHUP; an invalid file is rejected as a whole.
 
-Requests that are open keep their deadlines, their classes and their plans. Where the process listens stays as
-it is until the next start.
+Open requests keep their deadlines, classes and plans. Changed addresses of listeners take effect at the next
+start.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 
 class ReloadableProcess(Protocol):
-    """What a reload needs of the process."""
+    """The parts of a process that a reload uses."""
 
     config: Config | None
     front: Front
@@ -37,14 +37,14 @@
     objects: ObjectService | None
 
     def apply_limits(self) -> None:
-        """Have both sides' connections go by the limits of the configuration."""
+        """Apply the configured limits to the connections of clients and to nodes."""
 
     def settings_in_force(self) -> api.Settings:
-        """The settings of the configuration, as far as they hold for this process."""
+        """Return the configured settings, less what a newer process of this broker now provides."""
 
 
 def reload(process: ReloadableProcess, environment: Mapping[str, str]) -> None:
-    """Go by the configuration file as it is now; by what was in force before if it can't be used."""
+    """Apply the current configuration file; if it is invalid, keep the configuration in force."""
     running = process.config
     if running is None or process.watch is None or process.peers is None:
         log("nothing to reload", reason="no configuration file; plan and apply change the operator's")
@@ -65,7 +65,7 @@
 
 
 def _apply_names(process: ReloadableProcess, config: Config) -> None:
-    """Classes, plans and zones by the names of the new file; numbers that were given out stay."""
+    """Apply the names of classes, plans and zones; numbers already assigned stay the same."""
     names = config.names
     process.front.names = names
     process.directory.zones = names.zones
--- a/harriertide/cli/shutdown.py
+++ b/harriertide/cli/shutdown.py
@@ -1,8 +1,8 @@
 """Graceful shutdown of a broker's process, on SIGTERM and SIGINT: its steps in order.
 
-Clients of a broker that restarts have no other to go to: each request that is still served on a connection
-that they keep is one that does not fail. So the process serves on for as long as a request may take, and only
-then rejects what is left.
+Clients of a broker that restarts cannot use another broker, so each request that is still served on a kept
+connection is one that does not fail. The process therefore serves for as long as a request may take, and
+rejects only the requests that are left then.
 """
 
 from __future__ import annotations
@@ -31,16 +31,16 @@
     from harriertide.lifecycle.operator_api import OperatorApi
     from harriertide.objects.service import ObjectService
 
-ACCEPT_GRACE_S = 0.5  # after the signal new connections are accepted for so long, as some are still sent
-MAX_REQUEST_S = 3.0  # a request whose class allows longer is not waited for: a restart has to end
-SHUTDOWN_SLACK_S = 0.4  # beside the longest request, for its connection to close in order
-FINAL_RESPONSES_S = 0.3  # before the deadline: from then on no connection is kept after its response
-LINGER_S = 0.15  # after the deadline, for clients to read: a close on unread bytes resets the response
-POLL_INTERVAL_S = 0.02  # between looks whether requests are still open
+ACCEPT_GRACE_S = 0.5  # new connections are accepted for so long after the signal: some still arrive
+MAX_REQUEST_S = 3.0  # requests whose class allows more time are not waited for
+SHUTDOWN_SLACK_S = 0.4  # in addition to the longest request, for an orderly close of its connection
+FINAL_RESPONSES_S = 0.3  # before the deadline; from then on each connection closes after its response
+LINGER_S = 0.15  # after the deadline, for clients to read their responses before the close
+POLL_INTERVAL_S = 0.02  # between checks for open requests
 
 
 class StoppingProcess(Protocol):
-    """What a shutdown needs of the process."""
+    """The parts of a process that a shutdown uses."""
 
     lifecycle: Lifecycle
     stopping: asyncio.Event
@@ -59,11 +59,11 @@
     in_place_upgrade: InPlaceUpgrade | None
 
     def apply_lifecycle(self) -> None:
-        """Have all parts go by the lifecycle as it is now."""
+        """Apply the current state of the lifecycle to all parts."""
 
 
 async def shut_down(process: StoppingProcess) -> None:
-    """Finish what was accepted, reject the rest, and close everything."""
+    """Finish accepted requests, reject the rest, and close all parts."""
     _announce(process)
     grace_s = _grace_period_s(process.core.settings)
     deadline = asyncio.get_running_loop().time() + grace_s
@@ -78,7 +78,7 @@
 
 
 def _announce(process: StoppingProcess) -> None:
-    """Health checks say no from now on, and a newer process that dies is not replaced by this one."""
+    """Fail health checks from now on, and no longer take over from a newer process that dies."""
     process.stopping.set()
     process.lifecycle.mark_stopping()
     if process.in_place_upgrade is not None:
@@ -87,20 +87,20 @@
 
 
 def _grace_period_s(settings: api.Settings) -> float:
-    """For how long connections are served, from the signal on."""
+    """Return how long connections are served after the signal."""
     longest_request_s = max(each.deadline_us for each in settings.classes) / 1e6
     return min(MAX_REQUEST_S, longest_request_s) + SHUTDOWN_SLACK_S
 
 
 async def _accept_late_connections() -> None:
-    """Accept for a moment more what clients send before they hear of the end."""
+    """Accept the connections that clients open before they are told of the shutdown."""
     await sleep_until(asyncio.get_running_loop().time() + ACCEPT_GRACE_S)
 
 
 def _stop_accepting_unless_queued(process: StoppingProcess) -> None:
-    """Accept nothing more, unless connections wait for others to end.
+    """Stop accepting, unless connections wait in the queue of a listener.
 
-    Guards against requests that wait in the queue of a listener when it closes: the system resets them.
+    The system resets the connections that wait when their listener is closed.
     """
     if not process.clients.accept_control.has_waiting_connections:
         process.listeners.stop_accepting()
@@ -111,7 +111,7 @@
 
 
 async def _serve_until(process: StoppingProcess, time_s: float) -> None:
-    """Serve requests on connections that clients keep, until there is none or it is this late."""
+    """Serve requests on kept connections until none is left, or until this time of the event loop."""
     loop = asyncio.get_running_loop()
     while _is_busy(process) and loop.time() < time_s:
         _stop_accepting_unless_queued(process)
@@ -119,7 +119,7 @@
 
 
 async def _send_final_responses(process: StoppingProcess, deadline: float) -> None:
-    """Close each connection behind its response, and idle ones at once."""
+    """Close each connection after its response, and idle connections immediately."""
     loop = asyncio.get_running_loop()
     process.lifecycle.is_closing_connections = True
     process.apply_lifecycle()
@@ -127,12 +127,12 @@
         process.objects.front.ready = False
     while _is_busy(process) and loop.time() < deadline:
         _stop_accepting_unless_queued(process)
-        process.clients.close_idle()  # also one whose request was about to be read in the turn before
+        process.clients.close_idle()  # again in each iteration: more become idle
         await sleep_until(loop.time() + POLL_INTERVAL_S)
 
 
 async def _reject_the_rest(process: StoppingProcess, deadline: float) -> None:
-    """Reject what is open or still read, forward nothing more, and let clients read their responses."""
+    """Reject open requests and later ones, forward nothing, and let clients read their responses."""
     loop = asyncio.get_running_loop()
     process.front.rejects_requests = True
     process.runtime.post(ev.ShutdownStarted())
@@ -143,7 +143,7 @@
 
 
 async def _close(process: StoppingProcess) -> None:
-    """Close all parts; what they started is waited for."""
+    """Close all parts, and wait for their tasks."""
     process.clients.close()
     process.listeners.close_for_operators()
     if process.operator_api is not None:
--- a/harriertide/cli/startup.py
+++ b/harriertide/cli/startup.py
@@ -1,4 +1,4 @@
-"""Startup of a broker's process: its steps in order, and when it counts as serving."""
+"""Startup of a broker's process: its steps in order, and the conditions for readiness."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
     from harriertide.control.maintenance_service import MaintenanceService
     from harriertide.objects.service import ObjectService
 
-# An agent that pushes the endpoint list and says nothing, as discovery is away, holds up a start for so long.
+# How long a start waits for an agent that sends no endpoint list, for example because discovery is down.
 FIRST_LIST_TIMEOUT_S = 2.0
 
 
 class Readiness:
-    """What has to be there before this process serves: its listeners, and an endpoint list if one is pushed.
+    """The conditions for readiness: open listeners, and the first endpoint list if an agent pushes lists.
 
-    :param on_ready: called once both are there; it may be called again.
+    :param on_ready: called when both conditions hold; it may be called repeatedly
     """
 
     def __init__(self, on_ready: Callable[[], None]) -> None:
@@ -33,10 +33,10 @@
         self._awaits_endpoint_list = False
 
     def await_endpoint_list(self, watch: EndpointWatch) -> None:
-        """Wait for the first list of an agent on this machine, FIRST_LIST_TIMEOUT_S at most.
+        """Wait for the first list of an agent on this machine, for at most FIRST_LIST_TIMEOUT_S.
 
-        Changes that an agent has count as known from the first moment of a process, and the list in the
-        configuration may be old: guards against requests to nodes that are draining by now.
+        Changes that the agent has count as known from the start of the process, and the list in the
+        configuration may be outdated: its nodes may be draining by now.
         """
         self._awaits_endpoint_list = True
 
@@ -49,12 +49,12 @@
         watch.on_list_received = on_list_received_or_timeout
 
     def skip_endpoint_list(self) -> None:
-        """The list that this process has is as new as it can be."""
+        """Do not wait for a list, as this process has a current one."""
         self._awaits_endpoint_list = False
         self._check()
 
     def listeners_opened(self) -> None:
-        """All listeners are open."""
+        """Record that all listeners are open."""
         self._listeners_are_open = True
         self._check()
 
@@ -64,7 +64,7 @@
 
 
 class StartingProcess(Protocol):
-    """What a startup needs of the process."""
+    """The parts of a process that a startup uses."""
 
     config: Config | None
     listeners: Listeners
@@ -85,17 +85,17 @@
         """Accept the platform's clients, and messages of other brokers."""
 
     def apply_limits(self) -> None:
-        """Have both sides' connections go by the limits."""
+        """Apply the limits to the connections of clients and to nodes."""
 
     def create_in_place_upgrade(self, config: Config) -> InPlaceUpgrade:
-        """Enter this process among those of its broker."""
+        """Register this process with the other processes of its broker."""
 
 
 async def start_up(process: StartingProcess) -> None:
-    """Bring the process up: the platform's side, the object front, maintenance.
+    """Start the platform's side, the object front and maintenance.
 
-    :raises BadConfigError: where an address of the configuration can't be used.
-    :raises OSError: where another address can't be had.
+    :raises BadConfigError: an address of the configuration cannot be used
+    :raises OSError: another address cannot be used
     """
     if process.config is not None:
         await _start_platform_side(process, process.config)
@@ -107,7 +107,7 @@
 
 
 async def _start_platform_side(process: StartingProcess, config: Config) -> None:
-    """Operators first, as they may ask how the start is going; clients last."""
+    """Start the listener for operators first, so that they can query the start, and that for clients last."""
     process.listeners.client_address = find_client_address(config)
     if config.operator is not None:
         await process.open_operator_api(config.operator)
@@ -118,7 +118,7 @@
 
 
 def _follow_endpoint_list(process: StartingProcess, config: Config) -> None:
-    """Have the list pushed by an agent where the settings say so; else the decision module polls for it."""
+    """Watch an agent that pushes the endpoint list if the settings say so; else the decision module polls."""
     watch = process.watch
     assert watch is not None, "made with the configuration"
     is_pushed = not config.settings.polls_endpoint_list
@@ -128,10 +128,10 @@
 
 
 async def _take_over(process: StartingProcess, config: Config) -> None:
-    """Start beside the active process of this broker, and go on in its place once this one could serve.
+    """Take over from the active process of this broker once this process could serve.
 
-    The peers' address is open before the active process lets go of it, and what comes meanwhile is kept:
-    guards against messages that are lost between the two.
+    The peers' address is opened before the active process closes it, and messages are buffered in between, so
+    that none is lost.
     """
     peers = process.peers
     assert peers is not None, "made with the configuration"
@@ -140,7 +140,7 @@
     peers.start_buffering()
     await process.open_peer_listener()
     if await upgrade.take_over():
-        process.readiness.skip_endpoint_list()  # the list of the process before is as new as an agent's
+        process.readiness.skip_endpoint_list()  # the previous process's list is as new as an agent's
     peers.deliver_buffered()
 
 
