--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -91,6 +91,7 @@
 
     :param folder: a temporary folder for the configuration and the log
     :param tmpdir: $TMPDIR of the process
+    :param arguments: behind the command of the deploy file
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         config: Mapping[str, Any],
         record: Record,
         is_inherited: bool = False,
+        arguments: str = "",
     ) -> None:
         self.name = name
         host, _, port = str(config["listen"]).rpartition(":")
@@ -122,7 +124,7 @@
         self.log_path = folder / f"{name}.log"
         with self.log_path.open("wb") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", run],
+                ["/bin/sh", "-c", f"{run} {arguments}".strip()],
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
