Review case 3: the record has each body that a client begins to send

Cause: the record is to say what was sent, answered and run; it had answers and runs only.

Change: one line in review/3/case.py.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -78,6 +78,7 @@
     except OSError:
         return result
     answer = asyncio.create_task(read_message(reader))
+    record.write("client-sent", id=call.id, bytes=BODY_BYTES)
     try:
         writer.write(head)
         for first in range(0, BODY_BYTES, PIECE_BYTES):
