--- a/review/2/case.py
+++ b/review/2/case.py
@@ -40,37 +40,36 @@
 
 
 class OrderedNode:
-    """Runs each write for WORK_S, then applies it, and notes what crosses.
+    """Runs each write for WORK_S, then applies it, and notes each write that arrives while another is out.
 
-    A value is the number of the burst that its client sent it in: writes of a later burst were taken later.
+    A value is the number of the burst that its client sent it in: writes of a later burst were sent later.
     """
 
     def __init__(self, record: Record) -> None:
         self.breaks: list[str] = []
         self._record = record
         self._running: dict[str, int] = {}  # values by call ID
-        self._newest_acknowledged = -1
+        self.replaced_count = 0  # of answered writes, by ones that were sent earlier
+        self._newest_answered = -1
 
     async def run(self, node: Node, message: Message, writer: asyncio.StreamWriter) -> None:
         """Run one write."""
         call, value = message.headers["x-call-id"], int(message.body)
         for other, other_value in self._running.items():
-            self._note(f"{call} (burst {value}) arrived while {other} (burst {other_value}) was out")
+            self.breaks.append(f"{call} (burst {value}) arrived while {other} (burst {other_value}) was out")
+            self._record.write("crossing", what=self.breaks[-1])
         self._running[call] = value
         try:
             await asyncio.sleep(WORK_S)
         finally:
             del self._running[call]
         self._record.write("node-applied", id=call, burst=value)
-        if value < self._newest_acknowledged:
-            self._note(f"{call} (burst {value}) replaced the acknowledged burst {self._newest_acknowledged}")
-        self._newest_acknowledged = max(self._newest_acknowledged, value)
+        if value < self._newest_answered:
+            self.replaced_count += 1
+            self._record.write("replaced", id=call, burst=value, answered=self._newest_answered)
+        self._newest_answered = max(self._newest_answered, value)
         writer.write(whole_answer(b"stored"))
 
-    def _note(self, line: str) -> None:
-        self.breaks.append(line)
-        self._record.write("crossing", what=line)
-
 
 async def write_bursts(address: tuple[str, int], record: Record, is_over: asyncio.Event) -> None:
     """Send bursts of writes of one key; a client opens more connections when all are busy."""
@@ -126,10 +125,13 @@
                 await asyncio.sleep(1.0)
                 processes[number - 1].signal(signal.SIGTERM)
             await asyncio.sleep(LONGEST_DEADLINE_S + 0.7)
+            if has_trouble:
+                processes[number - 1].end()  # as the platform does, if it has not ended yet
         is_over.set()
         await writer
         if processes[-1].process.poll() is not None:
             raise RuntimeError("the broker has ended")
+        print(f"two writes out at once: {len(ordered.breaks)}; replaced by older: {ordered.replaced_count}")
         return ordered.breaks
     finally:
         for process in processes:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,144 +1,103 @@
-"""Many clients send long bodies at once, to a broker with the limits of a scored day."""
+"""Long answers that a disk node writes over two seconds, in pieces."""
 
 from __future__ import annotations
 
 import asyncio
-import threading
-import time
-from contextlib import suppress
 from pathlib import Path
 
 from review.standins.case import run_case
-from review.standins.clients import Call
+from review.standins.clients import Call, Client
 from review.standins.discovery import Discovery
-from review.standins.http_messages import Message, read_message
+from review.standins.http_messages import Message
 from review.standins.nodes import Node, whole_answer
 from review.standins.platform import Broker, base_settings, free_port
 from review.standins.record import Record
 
-MEMORY_MB = 192
-SOCKETS = 1024
-NODE_COUNT = 14
-BODY_BYTES = 1_000_000
-BODY = bytes(BODY_BYTES)
-CLIENT_COUNT = 500
-CLIENTS_AT_ONCE_WITHOUT_TROUBLE = 8
 PIECE_BYTES = 16 * 1024
-NODE_PAUSE_S = 0.004  # between two pieces that a node reads: a body takes it 0.3 s
-SAMPLE_INTERVAL_S = 0.01
-ANSWER_TIMEOUT_S = 20.0
+PIECE_COUNT = 20  # 320 KiB in all
+PIECE_INTERVAL_S = 0.1  # so that an answer is written in two seconds
+ANSWER = bytes(number % 251 for number in range(PIECE_BYTES * PIECE_COUNT))
+CALL_COUNT = 6  # half of them with a length, half in chunks
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(ANSWER),
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+KEYS = {"length": "0000000000000001", "chunks": "0000000000000002"}
 
 
-class MemoryLimit:
-    """The platform's limit: over `memory_mb` the broker is killed.
+class LongAnswers:
+    """A node that writes long answers, and notes those that the broker cuts off.
 
-    What counts is the anonymous memory of the process alone: no file, no library, and nothing of the kernel.
+    :param interval_s: between two pieces; 0: the answer is written at once
     """
 
-    def __init__(self, broker: Broker, record: Record) -> None:
-        self.peak_kib = 0
-        self.was_exceeded = False
-        self._broker = broker
+    def __init__(self, record: Record, interval_s: float) -> None:
+        self.cut_off: dict[str, int] = {}  # attempts by call ID
         self._record = record
-        self._is_over = threading.Event()
-        self._thread = threading.Thread(target=self._watch, daemon=True)
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Watch no more."""
-        self._is_over.set()
-        self._thread.join()
-
-    def _watch(self) -> None:
-        while not self._is_over.is_set() and not self.was_exceeded:
-            with suppress(OSError, StopIteration):  # the process has ended
-                self.peak_kib = max(self.peak_kib, self._anonymous_kib())
-            if self.peak_kib > MEMORY_MB * 1024:
-                self.was_exceeded = True
-                self._record.write("platform-kills", anonymous_kib=self.peak_kib, limit_kib=MEMORY_MB * 1024)
-                self._broker.process.kill()
-            time.sleep(SAMPLE_INTERVAL_S)
-
-    def _anonymous_kib(self) -> int:
-        status = Path(f"/proc/{self._broker.process.pid}/status").read_text(encoding="utf-8")
-        row = next(row for row in status.splitlines() if row.startswith("RssAnon:"))
-        return int(row.split()[1])
-
-
-async def upload(address: tuple[str, int], number: int, record: Record) -> str:
-    """Write one long body as fast as the broker takes it; returns the status, or how it ended."""
-    call = Call(
-        "PUT", "new-file", volume=f"{number:016x}", key=f"{number:016x}", units=1, budget_ms=3000,
-        shard=number % NODE_COUNT, body=BODY,
-    )  # fmt: skip
-    head = call.encode()[:-BODY_BYTES]
-    result = "no answer"
-    try:
-        reader, writer = await asyncio.open_connection(*address)
-    except OSError:
-        return result
-    answer = asyncio.create_task(read_message(reader))
-    record.write("client-sent", id=call.id, bytes=BODY_BYTES)
-    try:
-        writer.write(head)
-        for first in range(0, BODY_BYTES, PIECE_BYTES):
-            if answer.done():
-                break
-            writer.write(BODY[first : first + PIECE_BYTES])
-            await writer.drain()
-    except OSError:
-        pass  # it may have been answered before its end
-    with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            result = str((await answer).status)
-    answer.cancel()
-    writer.close()
-    record.write("client-ended", id=call.id, result=result.replace(" ", "-"))
-    return result
+        self._interval_s = interval_s
+
+    async def run(self, node: Node, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Answer one read."""
+        call = message.headers["x-call-id"]
+        form = "chunks" if KEYS["chunks"] in message.target else "length"
+        written = 0
+        try:
+            writer.write(HEADS[form])
+            for first in range(0, len(ANSWER), PIECE_BYTES):
+                piece = ANSWER[first : first + PIECE_BYTES]
+                await asyncio.sleep(self._interval_s)
+                writer.write(piece if form == "length" else b"%x\r\n%b\r\n" % (len(piece), piece))
+                await writer.drain()
+                written += len(piece)
+            if form == "chunks":
+                writer.write(b"0\r\n\r\n")
+            self._record.write("node-answered", id=call, form=form)
+        except ConnectionError:
+            self.cut_off[call] = self.cut_off.get(call, 0) + 1
+            self._record.write("node-cut-off", id=call, form=form, written=written)
+            raise
 
 
 async def play(folder: Path, record: Record, has_trouble: bool) -> list[str]:
-    """Send all bodies, at once with trouble, else a few at a time."""
+    """Read long answers, one after the other; with trouble, the node writes them over two seconds."""
+    answers = LongAnswers(record, PIECE_INTERVAL_S if has_trouble else 0.0)
 
-    async def store(node: Node, message: Message, writer: asyncio.StreamWriter) -> None:
-        writer.write(whole_answer(b"stored"))
+    async def run_short(node: Node, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(whole_answer(b"short"))
 
-    nodes = [Node(f"s-{number}", number, record, store, NODE_PAUSE_S) for number in range(NODE_COUNT)]
+    nodes = [Node("s-0", 0, record, answers.run), Node("s-1", 1, record, run_short)]
     for node in nodes:
         await node.start()
     discovery = Discovery(nodes)
     await discovery.start()
     (folder / "tmp").mkdir()
-    settings = base_settings()
-    settings["domain"]["nShards"] = NODE_COUNT
     config = {
         "name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": discovery.address, "seed": "1",
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "peers": [],
-        "known": discovery.page(), "settings": settings,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "peers": [],
+        "known": discovery.page(), "settings": base_settings(),
     }  # fmt: skip
     broker = Broker("n0", folder, folder / "tmp", config, record)
+    breaks = []
     try:
         await broker.wait_until_ready()
-        limit = MemoryLimit(broker, record)
-        await asyncio.sleep(1.0)
-        gate = asyncio.Semaphore(CLIENT_COUNT if has_trouble else CLIENTS_AT_ONCE_WITHOUT_TROUBLE)
-
-        async def take_turn(number: int) -> str:
-            async with gate:
-                return await upload(broker.address, number, record)
-
-        results = await asyncio.gather(*map(take_turn, range(CLIENT_COUNT)))
-        await asyncio.sleep(1.0)
-        limit.stop()
-        ended = {result: results.count(result) for result in sorted(set(results))}
-        record.write("memory", peak_anonymous_kib=limit.peak_kib, limit_kib=MEMORY_MB * 1024)
-        record.write("clients", **{name.replace(" ", "_"): count for name, count in ended.items()})
-        print(f"peak of anonymous memory: {limit.peak_kib} KiB of {MEMORY_MB * 1024}; clients: {ended}")
-        if limit.was_exceeded:
-            return [f"{limit.peak_kib} KiB of {MEMORY_MB * 1024}: killed; {ended} of {CLIENT_COUNT} clients"]
+        client = Client(broker.address, record)
+        await client.send(Call(shard=1))
+        for number in range(CALL_COUNT):
+            form = ("length", "chunks")[number % 2]
+            call = Call(key=KEYS[form], units=8)
+            answer = await client.send(call)
+            is_whole = answer is not None and answer.status == 200 and answer.body == ANSWER
+            await asyncio.sleep(0.5)  # the node sees the end of its connection at its next write
+            if call.id in answers.cut_off and not is_whole:
+                status = answer.status if answer is not None else "none"
+                breaks.append(
+                    f"{call.id} ({form}): cut off {answers.cut_off[call.id]} times while the node wrote; "
+                    f"the client's answer: {status}"
+                )
+        client.close()
         if broker.process.poll() is not None:
-            return [f"the broker ended with {broker.process.poll()}"]
-        return []
+            raise RuntimeError("the broker has ended")
+        return breaks
     finally:
         broker.end()
         discovery.close()
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -22,6 +23,8 @@
 def run_case(case_file: str, play: Play) -> None:
     """Play a case and exit: 0 where the rule held, 1 where it was broken, 2 where the case could not run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A runner that ends the case ends its processes too: SystemExit passes the `finally` of the case.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(Path(case_file).resolve().parent / "record.txt")
     status = COULD_NOT_RUN
     try:
