Queue a request for its shard only when its key is not quiet

Callers saw: with a class in order and keyQuietUs, no request of a shard was sent for up to the quiet time after an attempt that might still run, once the next request of that key had arrived; late ones were refused.

Cause: a request that arrives as the first of its key went into its shard's queue although the key was quiet; the dispatcher asks the key only at the head of the queue and stops there (Scheduler._on_arrival, _is_ready_to_queue).

Change: both ask KeyQueues.may_start, so the request waits with its key, whose timer queues it. A class without order passes the same test as before.

Evidence: test_a_request_of_a_quiet_key_does_not_hold_up_others_of_its_shard fails on the text before (no attempt for another key), passes now.

--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -214,7 +214,7 @@
         reason = self._find_rejection(request, shard)
         if reason is not None:
             self.responses.give_up(request, reason)
-        elif request.is_first_of_key():
+        elif self.key_queues.may_start(request):
             self.dispatcher.enqueue(request)
 
     def _new_request(self, arrival: api.Arrival, answer_deadline_us: int) -> RequestState:
@@ -380,12 +380,11 @@
         elif self._is_ready_to_queue(request):
             self.dispatcher.enqueue(request)
 
-    @staticmethod
-    def _is_ready_to_queue(request: RequestState) -> bool:
-        """Whether a request is unanswered, not in flight, not queued, and the first of its key."""
+    def _is_ready_to_queue(self, request: RequestState) -> bool:
+        """Whether a request is unanswered, not in flight, not queued, and may start by its key."""
         if request.is_answered or request.open_attempts or request.is_queued:
             return False
-        return request.is_first_of_key()
+        return self.key_queues.may_start(request)
 
     def _set_timer(self) -> None:
         """Set one timer for the next due time, unless an earlier one is set already."""
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -76,10 +76,6 @@
         """Whether an attempt that has ended may have been executed."""
         return self.executed_since_us > 0
 
-    def is_first_of_key(self) -> bool:
-        """Whether no other request of the same key has to run first."""
-        return self.key_queue is None or self.key_queue.is_first(self)
-
     def record_execution(self, node: NodeState, sent_at_us: int) -> None:
         """Record that an attempt may have run; the earliest such attempt is kept."""
         if not self.may_have_run or sent_at_us < self.executed_since_us:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -73,6 +73,16 @@
     assert [s.request_id for s in started_attempts(broker.advance(100_000, 10_000))] == ["r2"]
 
 
+def test_a_request_of_a_quiet_key_does_not_hold_up_others_of_its_shard() -> None:
+    """Guards against a shard that serves nothing for as long as the key of its first request is quiet."""
+    broker = BrokerUnderTest(key_quiet_us=150_000)
+    broker.request(3, key="k")
+    broker.finish_attempt("r1", "cancelled", is_final=True)
+    assert not started_attempts(broker.request(3, key="k"))
+    assert [s.request_id for s in started_attempts(broker.request())] == ["r3"]
+    assert [s.request_id for s in started_attempts(broker.advance(200_000, 10_000))] == ["r2"]
+
+
 def test_the_next_request_of_a_key_starts_when_the_first_is_over() -> None:
     broker = BrokerUnderTest()
     broker.request(3, key="k")
