Keep the order of keys across the processes of an upgrade

Cause: the order of a key lived in one process's KeyQueues. The superseded process went on with its queue and with what kept connections brought; the new one began with empty queues, and nothing told it which keys were open.

Change: a superseded process refuses further requests of ordered classes and keeps a file of the keys it has not finished (lifecycle/open_keys). The newer one holds requests of these keys (api.KeysHeld) until the file names them no longer, or the older process has ended and its keys were quiet. Unreadable: every key. Each hold ends with the older requests' deadlines. The same hold serves a role that is taken back and a start behind a killed process.

Why it works: at the claim the set of keys is written before the record that lets the new process go on, and it only shrinks, as nothing is admitted to it.

--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -26,6 +26,7 @@
 from harriertide.http.node_client import NodeClient
 from harriertide.lifecycle.active_process import ActiveProcessHooks, ActiveProcessLease
 from harriertide.lifecycle.machine import Lifecycle
+from harriertide.lifecycle.open_keys import OpenKeysPublisher, OpenKeysRecord, OpenKeysWatcher
 from harriertide.lifecycle.process_registry import ProcessRegistry
 from harriertide.lifecycle.record import Handover, RecordError, decode, encode
 from harriertide.platform.configuration import BadConfigError, Config
@@ -98,6 +99,11 @@
             on_liveness=self._on_liveness,
         )
         self.lease = ActiveProcessLease(registry, hooks)
+        self._registry = registry
+        self._open_keys = OpenKeysPublisher(registry, self._read_open_keys)
+        self._held_keys = OpenKeysWatcher(
+            registry, self._longest_ordered_s, self._key_quiet_s, self._hold_keys
+        )
         process.runtime.check_fence = self.lease.check_fence
 
     def share(self, limits: Limits) -> Limits:
@@ -114,6 +120,8 @@
         """Unregister this process."""
         if self._reopening is not None:
             self._reopening.cancel()
+        self._held_keys.stop()
+        self._open_keys.publish_last()
         self.lease.close()
 
     # --- taking over ---------------------------------------------------------------------------
@@ -124,14 +132,18 @@
         :returns: whether there was such a record
         """
         data = await self.lease.take_over()
-        if data is not None and self._has_imported(data):
-            return True
+        has_state = data is not None and self._has_imported(data)
+        if not has_state:
+            self._begin_without_state()
+        if data is None:
+            log("in charge", epoch=self.lease.epoch, state="none")
+        self._hold_keys_of_others()
+        return has_state
+
+    def _begin_without_state(self) -> None:
         scheduler = self._process.core.scheduler
         if isinstance(scheduler, Scheduler):
             scheduler.begin_without_state(self._process.runtime.clock.now_us())
-        if data is None:
-            log("in charge", epoch=self.lease.epoch, state="none")
-        return False
 
     def _has_imported(self, data: bytes) -> bool:
         """Import a record; return False, and log the reason, if it cannot be used."""
@@ -211,6 +223,7 @@
         self._own_share = self._limits().split(self._kept_client_count(), self._kept_node_connection_count())
         process.apply_limits()
         process.runtime.handle_now(ev.SettingsChanged(process.settings_in_force()))
+        self._open_keys.start()  # before the newer process reads the record: it holds what is not finished
         log(
             "superseded by a newer process",
             open=process.core.open_request_count(),
@@ -227,6 +240,8 @@
         process.apply_lifecycle()
         process.apply_limits()
         process.runtime.handle_now(ev.SettingsChanged(process.settings_in_force()))
+        self._open_keys.withdraw()
+        self._hold_keys_of_others()
         self._reopening = asyncio.get_running_loop().create_task(self._accept_again())
 
     async def _accept_again(self) -> None:
@@ -247,6 +262,36 @@
         if not self.lease.is_active:
             process.stop_accepting()
 
+    # --- the order of keys across processes ----------------------------------------------------
+
+    def _hold_keys_of_others(self) -> None:
+        """Hold the keys that the process before this one, and those before it, have not finished."""
+        epochs = {self.lease.predecessor_epoch, *self._registry.superseded_epochs()} - {0}
+        self._held_keys.hold_for(sorted(epochs))
+        if not self._held_keys.held.is_finished:
+            keys = self._held_keys.held.keys
+            log("holds keys of an older process", keys="all" if keys is None else len(keys))
+
+    def _hold_keys(self, held: OpenKeysRecord) -> None:
+        runtime = self._process.runtime
+        runtime.handle_now(ev.KeysHeld(api.KeysHeld(held.keys, runtime.clock.unix_us(held.until_s))))
+
+    def _read_open_keys(self) -> OpenKeysRecord:
+        """Return the keys that this process has not finished, with those that it holds for older ones."""
+        scheduler = self._process.core.scheduler
+        assert isinstance(scheduler, Scheduler)
+        own, held = scheduler.key_queues.open_keys(), self._held_keys.held
+        keys = own.keys | held.keys if held.keys is not None else None
+        return OpenKeysRecord(keys, max(self._process.runtime.clock.loop_time(own.until_us), held.until_s))
+
+    def _longest_ordered_s(self) -> float:
+        classes = self._process.core.settings.classes
+        return max((each.deadline_us for each in classes if each.in_order), default=0) / 1_000_000
+
+    def _key_quiet_s(self) -> float:
+        settings = self._process.core.settings
+        return (settings.key_quiet_us + settings.tick_us) / 1_000_000
+
     # --- limits that two processes share -------------------------------------------------------
 
     def _on_liveness(self, is_alone: bool) -> None:
--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -81,6 +81,13 @@
     kind: api.OutcomeKind
 
 
+@dataclass(frozen=True, slots=True)
+class KeysHeld:
+    """Another process of this broker may still run requests of these keys; see `api.KeysHeld`."""
+
+    held: api.KeysHeld
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
     """The operator has changed the settings."""
@@ -102,6 +109,7 @@
     | TimerFired
     | PeerMessageReceived
     | ProbeFinished
+    | KeysHeld
     | SettingsChanged
     | ShutdownStarted
 )
--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -64,6 +64,7 @@
             ev.TimerFired: self._on_timer_fired,
             ev.PeerMessageReceived: self._on_peer_message_received,
             ev.ProbeFinished: self._on_probe_finished,
+            ev.KeysHeld: self._on_keys_held,
             ev.SettingsChanged: self._on_settings_changed,
             ev.ShutdownStarted: self._on_shutdown_started,
         }
@@ -175,6 +176,9 @@
         self.counts[f"probe_{event.kind}"] += 1
         return [api.ProbeFinished(event.node_id, event.kind)]
 
+    def _on_keys_held(self, now_us: int, event: ev.KeysHeld) -> list[api.Event]:
+        return [event.held]
+
     def _on_settings_changed(self, now_us: int, event: ev.SettingsChanged) -> list[api.Event]:
         self.settings = event.settings
         self._lifecycle.settings = event.settings
--- a/harriertide/decide/api/actions.py
+++ b/harriertide/decide/api/actions.py
@@ -27,7 +27,8 @@
 # its shard is overloaded and the request was not admitted. queue_full: its queue is too long. too_late: an
 # answer would come too late. rate_limit: its plan's rate limit is used up. deadline: its deadline is reached.
 # not_repeatable, deduplication_over, retry_budget: it may not be attempted again because of its class, its
-# deduplication window or the retry budget. wrong_shard: its node does not hold the shard.
+# deduplication window or the retry budget. wrong_shard: its node does not hold the shard. superseded: a newer
+# process of this broker keeps the order of its key.
 GiveUpReason: TypeAlias = Literal[
     "no_node",
     "overload",
@@ -39,6 +40,7 @@
     "deduplication_over",
     "retry_budget",
     "wrong_shard",
+    "superseded",
 ]
 
 
--- a/harriertide/decide/api/events.py
+++ b/harriertide/decide/api/events.py
@@ -132,6 +132,20 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class KeysHeld:
+    """Keys whose earlier requests another process of this broker may still run.
+
+    Requests of these keys that arrive from now on wait. Each such event replaces the one before.
+
+    :ivar keys: None: every key
+    :ivar until_us: the requests wait until then, unless another event releases them
+    """
+
+    keys: frozenset[str] | None
+    until_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
     """New settings for a running broker, such as values of plans and classes, shards or limits."""
@@ -147,6 +161,7 @@
     | ResponseStarted
     | ProbeFinished
     | ClientDisconnected
+    | KeysHeld
     | SettingsChanged
     | TimerFired
 )
--- a/harriertide/decide/api/settings.py
+++ b/harriertide/decide/api/settings.py
@@ -123,6 +123,7 @@
     :ivar tick_us: least time between two calls of the decision module
     :ivar key_quiet_us: wait after an attempt of an ordered request that may still run, before the next
         request of its key
+    :ivar admits_ordered_requests: this process, and no newer one of the broker, keeps the order of keys
     :ivar retry_budget_floor, retry_budget_ratio, retry_budget_window_us: retries within a window are limited
         to the floor plus this part of the window's requests; a floor of None: no limit
 
@@ -153,6 +154,7 @@
     probes_allowed: bool = False
     tick_us: int = 1_000
     key_quiet_us: int = 0
+    admits_ordered_requests: bool = True
     retry_budget_floor: float | None = None
     retry_budget_ratio: float = 0.0
     retry_budget_window_us: int = 0
@@ -193,7 +195,7 @@
         """Return the settings of a process whose budgets a newer process has taken over.
 
         Such a process finishes its requests, but sends none that count against a rate limit and none to a
-        warming node.
+        warming node, and admits no further request whose key has an order.
         """
         plans = tuple(
             replace(plan, rate_limit=EXHAUSTED_UNITS, burst_limit_units=EXHAUSTED_UNITS)
@@ -201,4 +203,10 @@
             else plan
             for plan in self.plans
         )
-        return replace(self, plans=plans, slow_start_units=EXHAUSTED_UNITS, slow_start_initial_ratio=1.0)
+        return replace(
+            self,
+            plans=plans,
+            slow_start_units=EXHAUSTED_UNITS,
+            slow_start_initial_ratio=1.0,
+            admits_ordered_requests=False,
+        )
--- a/harriertide/decide/context.py
+++ b/harriertide/decide/context.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyTimer:
-    """The quiet period of a key is over, so its next request may run."""
+    """The time in which a key is quiet or held is over, so its next request may run."""
 
     key: str
 
--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -16,7 +16,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
+from typing import Any
 
 from harriertide.decide import api
 from harriertide.decide.admission import charge_quota_and_classify, should_shed
@@ -86,6 +88,18 @@
             self.responses,
         )
         self._timer_set_for_us = 0
+        self._event_handlers: dict[type, Callable[[Any], None]] = {
+            api.Arrival: self._on_arrival,
+            api.AttemptFinished: self._on_attempt_finished,
+            api.EndpointUpdate: self._on_endpoint_update,
+            api.PeerMessageReceived: self.exchange.receive,
+            api.ResponseStarted: self._on_response_started,
+            api.ProbeFinished: self.health.on_probe_finished,
+            api.ClientDisconnected: self._on_client_disconnected,
+            api.KeysHeld: self.key_queues.hold,
+            api.SettingsChanged: self._on_settings_changed,
+            api.TimerFired: self._on_timer_fired,
+        }
         self._apply_settings(settings)
 
     # --- the interface -------------------------------------------------------------------------------
@@ -102,7 +116,7 @@
         if not context.has_started:
             self._start()
         for event in events:
-            self._on_event(event)
+            self._event_handlers[type(event)](event)
         if self.demand.is_interval_over():
             self.demand.close_interval()
             self._forget_idle_state()
@@ -173,26 +187,11 @@
 
     # --- events --------------------------------------------------------------------------------------
 
-    def _on_event(self, event: api.Event) -> None:
-        match event:
-            case api.Arrival():
-                self._on_arrival(event)
-            case api.AttemptFinished():
-                self._on_attempt_finished(event)
-            case api.EndpointUpdate():
-                self._on_endpoint_update(event)
-            case api.PeerMessageReceived():
-                self.exchange.receive(event)
-            case api.ResponseStarted():
-                self._on_response_started(event)
-            case api.ProbeFinished():
-                self.health.on_probe_finished(event)
-            case api.ClientDisconnected():
-                self._on_client_disconnected(event)
-            case api.SettingsChanged():
-                self._apply_settings(event.settings)
-            case api.TimerFired():
-                pass  # decide() runs due timers on each call
+    def _on_settings_changed(self, event: api.SettingsChanged) -> None:
+        self._apply_settings(event.settings)
+
+    def _on_timer_fired(self, event: api.TimerFired) -> None:
+        """Do nothing more, as decide() runs due timers on each call."""
 
     def _on_arrival(self, arrival: api.Arrival) -> None:
         """Classify a new request, count it as demand, and queue it or give it up immediately."""
@@ -243,6 +242,8 @@
         Checks every node of the shard, as this check starts the probes of ejected nodes. Draws a random
         number if the shard is overloaded, and may request units from the holder of the plan's limit.
         """
+        if request.key_queue is not None and not self.context.settings.admits_ordered_requests:
+            return "superseded"
         node_acceptance = [self.health.accept_or_probe(node) for node in shard.nodes.values()]
         is_shed = should_shed(self.context, request, shard)
         if not any(node_acceptance):
@@ -370,7 +371,7 @@
             case LeaseTimer():
                 self.rate_limits.on_lease_timer(timer)
             case KeyTimer(key):
-                self.key_queues.on_quiet_period_end(key)
+                self.key_queues.on_blocked_period_end(key)
 
     def _on_request_timer(self, request: RequestState) -> None:
         """Give up a request at its deadline; before that, queue it if it may be dispatched."""
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -19,10 +19,20 @@
 
 @dataclass(slots=True, eq=False)
 class KeyQueue:
-    """Requests of one key that must run one after the other. quiet_until_us: no request starts before."""
+    """Requests of one key that must run one after the other.
+
+    quiet_until_us: no request starts before, as an attempt may still run. held_until_us: no request starts
+    before, as another process of this broker may have earlier requests of the key.
+    """
 
     members: deque[RequestState] = field(default_factory=deque)
     quiet_until_us: int = 0
+    held_until_us: int = 0
+
+    @property
+    def blocked_until_us(self) -> int:
+        """The time before which no request of the key starts."""
+        return max(self.quiet_until_us, self.held_until_us)
 
     def is_first(self, request: RequestState) -> bool:
         """Whether this request is at the head of the queue."""
--- a/harriertide/engine/workload_records.py
+++ b/harriertide/engine/workload_records.py
@@ -227,7 +227,13 @@
         for request_class in record.classes
     )
     plans = tuple(_convert_fields(plan, api.Plan) for plan in record.plans)
-    return _convert_fields(record, api.Settings, classes=classes, plans=plans)
+    return _convert_fields(
+        record,
+        api.Settings,
+        classes=classes,
+        plans=plans,
+        admits_ordered_requests=True,  # a state of the recorded process, which is not recorded
+    )
 
 
 def store_arrival(arrival: api.Arrival) -> ArrivalRecord:
--- a/harriertide/lifecycle/active_process.py
+++ b/harriertide/lifecycle/active_process.py
@@ -50,6 +50,8 @@
         self._renewed_at = 0.0
         self._liveness_checked_at = 0.0
         self._released_to = 0  # the epoch that claimed the lease from this process
+        # Of the process that was active before this one last became so, alive or not; 0: none is known.
+        self.predecessor_epoch = 0
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -70,6 +72,7 @@
         try:
             registry.raise_epoch()
             before = registry.active_epoch()
+            self.predecessor_epoch = before
             data = await self._claim_from(before) if registry.is_alive(before) else None
             registry.become_active()
             if data is None and registry.is_alive(before):
@@ -166,9 +169,12 @@
         Where `current` still has this process's epoch, the successor is the one that claimed and died before
         it became active.
         """
-        successor = self._released_to if active_epoch == self.epoch else active_epoch
+        successor = self._successor_epoch(active_epoch)
         return not self._registry.is_alive(successor) and not self._registry.claimed_epoch()
 
+    def _successor_epoch(self, active_epoch: int) -> int:
+        return self._released_to if active_epoch == self.epoch else active_epoch
+
     def _reclaim(self) -> None:
         registry = self._registry
         if not registry.try_lock_takeover():
@@ -176,6 +182,7 @@
         try:
             if not self._is_successor_gone(registry.active_epoch()):
                 return
+            self.predecessor_epoch = self._successor_epoch(registry.active_epoch())
             registry.become_active()
         finally:
             registry.end_takeover()
--- a/harriertide/lifecycle/process_registry.py
+++ b/harriertide/lifecycle/process_registry.py
@@ -6,6 +6,7 @@
 - `takeover`: locked by the one process that takes over just now.
 - `claim`: the epoch of the process that wants to take over.
 - `state-EPOCH`: the record that the active process leaves for the process of that epoch.
+- `keys-EPOCH`: the keys that the process of that epoch, which is active no more, has not finished.
 - `current`: the epoch of the active process. Invariant: it is written by the holder of `takeover` alone.
 
 The active process acts for at most ACTIVE_LEASE_S after it last saw its own epoch in `current`; the next one
@@ -79,6 +80,9 @@
     def _process_path(self, epoch: int) -> Path:
         return self._folder / f"process-{epoch}"
 
+    def _open_keys_path(self, epoch: int) -> Path:
+        return self._folder / f"keys-{epoch}"
+
     def _record_path(self, epoch: int) -> Path:
         return self._folder / f"state-{epoch}"
 
@@ -142,6 +146,28 @@
         """Whether another process of this broker lives."""
         return any(self.is_alive(epoch) for epoch in self._registered_epochs() if epoch != self.epoch)
 
+    # --- keys that are not finished --------------------------------------------------------------
+
+    def superseded_epochs(self) -> list[int]:
+        """The epochs of other processes that live and tell what they have not finished."""
+        told = [epoch for epoch in self._registered_epochs() if self._open_keys_path(epoch).exists()]
+        return [epoch for epoch in told if epoch != self.epoch and self.is_alive(epoch)]
+
+    def write_open_keys(self, data: bytes) -> None:
+        """Tell newer processes what this one has not finished."""
+        _write_atomically(self._open_keys_path(self.epoch), data)
+
+    def remove_open_keys(self) -> None:
+        """Take back what newer processes were told."""
+        _remove(self._open_keys_path(self.epoch))
+
+    def read_open_keys(self, epoch: int) -> bytes | None:
+        """What that process has not finished; None where it has not told."""
+        try:
+            return self._open_keys_path(epoch).read_bytes()
+        except OSError:
+            return None
+
     # --- a takeover ----------------------------------------------------------------------------
 
     def try_lock_takeover(self) -> bool:
@@ -181,6 +207,7 @@
         """The takeover is over, well or not. Files of processes that are gone are removed."""
         _remove(self._claim_path)
         _remove(self._record_path(self.epoch))
+        self._remove_old_open_keys()
         newest = max(self._registered_epochs())  # its file stays: no epoch is taken twice
         for epoch in self._registered_epochs():
             if epoch not in (self.epoch, newest) and not self.is_alive(epoch):
@@ -190,6 +217,13 @@
             os.close(self._takeover_lock)
             self._takeover_lock = None
 
+    def _remove_old_open_keys(self) -> None:
+        """Remove those of processes that had ended by an earlier takeover; later ones may still be read."""
+        registered = self._registered_epochs()
+        for path in self._folder.glob("keys-*"):
+            if path.name.partition("-")[2] not in map(str, registered):
+                _remove(path)
+
     def close(self) -> None:
         """Release the lock of this process, which is about to end."""
         os.close(self._lifetime_lock)
--- a/tests/test_give_up_reasons.py
+++ b/tests/test_give_up_reasons.py
@@ -99,6 +99,13 @@
     return broker.finish_attempt("r1", "not_sent")
 
 
+def newer_process_in_charge() -> list[api.Action]:
+    """A newer process of the broker keeps the order of keys, and this one is sent a further request."""
+    broker = BrokerUnderTest()
+    broker.handle(api.SettingsChanged(broker.settings.superseded()))
+    return broker.request(ORDERED_READS, key="k")
+
+
 CAUSES: dict[api.GiveUpReason, Callable[[], list[api.Action]]] = {
     "no_node": no_node_of_its_shard,
     "overload": overloaded_shard,
@@ -110,6 +117,7 @@
     "deduplication_over": deduplication_window_over,
     "retry_budget": retry_budget_used_up,
     "wrong_shard": node_without_its_shard,
+    "superseded": newer_process_in_charge,
 }
 
 
