Hold every key while attempts of a failed decision module are out

Where the decision module raises, it is replaced by one with empty key queues while attempts are out, and the next request of a key is sent beside them.

Change: the reducer tells the replacement to hold every key until the last open attempt must end, and the quiet time (Reducer._keys_to_hold, api.KeysHeld).

Evidence: test_a_key_is_held_where_the_decision_module_fails_with_a_request_out fails on the text before (r2 started beside r1), passes now.

--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -43,6 +43,7 @@
         self.settings = settings
         self.counts: Counter[str] = Counter()
         self.offered_units = 0.0
+        self._keys_held_until_us = 0  # for another process of this broker
         # Whether maintenance bars a node from new attempts; None without maintenance. Checked right before a
         # write in addition to the endpoint list, which may be stale after the broker was suspended or
         # partitioned.
@@ -177,6 +178,7 @@
         return [api.ProbeFinished(event.node_id, event.kind)]
 
     def _on_keys_held(self, now_us: int, event: ev.KeysHeld) -> list[api.Event]:
+        self._keys_held_until_us = event.held.until_us
         return [event.held]
 
     def _on_settings_changed(self, now_us: int, event: ev.SettingsChanged) -> list[api.Event]:
@@ -265,7 +267,18 @@
         self._decision_module = self._make_decision_module(settings, self._seed)
         current_endpoints = api.EndpointUpdate("cached", tuple(self._endpoints.entries().values()))
         try:
-            for action in self._decision_module.decide(now_us, [current_endpoints]):
+            for action in self._decision_module.decide(
+                now_us, [current_endpoints, self._keys_to_hold(now_us)]
+            ):
                 self._perform(now_us, action)
         except Exception:
             self._emit(ev.LogLine("the replacement decision module failed as well"))
+
+    def _keys_to_hold(self, now_us: int) -> api.KeysHeld:
+        """Every key, until all attempts that the failed decision module has started are over.
+
+        Its replacement knows neither these attempts nor their keys, and could send requests out of order.
+        """
+        attempts_over_us = max(now_us, self._lifecycle.requests.open_attempts_stop_at_us())
+        quiet_us = self.settings.key_quiet_us + self.settings.tick_us
+        return api.KeysHeld(None, max(attempts_over_us + quiet_us, self._keys_held_until_us))
--- a/harriertide/core/requests.py
+++ b/harriertide/core/requests.py
@@ -141,6 +141,11 @@
         """The number of requests without a final answer."""
         return sum(not request.is_answered for request in self._requests.values())
 
+    def open_attempts_stop_at_us(self) -> int:
+        """When the last open attempt must end; 0 if none is open."""
+        attempts = (request.open_attempt for request in self._requests.values())
+        return max((attempt.stop_at_us for attempt in attempts if attempt is not None), default=0)
+
     def open_attempt_count_at(self, node_id: str) -> int:
         """The number of open attempts at a node, including attempts that are not written yet."""
         attempts = (request.open_attempt for request in self._requests.values())
--- a/tests/test_key_order_across_processes.py
+++ b/tests/test_key_order_across_processes.py
@@ -10,12 +10,15 @@
 import pytest
 
 from harriertide.cli.daemon import Daemon
+from harriertide.core import events as ev
+from harriertide.core.reducer import Reducer
 from harriertide.decide import api
+from harriertide.decide.scheduler import Scheduler
 from harriertide.decide.settings import from_wire, names_from_wire
 from harriertide.lifecycle import open_keys
 from harriertide.lifecycle.open_keys import OpenKeysPublisher, OpenKeysRecord, OpenKeysWatcher
 from harriertide.lifecycle.process_registry import ProcessRegistry
-from tests.helpers import BrokerUnderTest, rejections, started_attempts
+from tests.helpers import SETTINGS, START_US, TWO_NODES, BrokerUnderTest, rejections, started_attempts
 from tests.scenario import HttpConnection
 from tests.socket_broker import send_response
 from tests.socket_broker import short_shutdown as short_shutdown  # a fixture
@@ -29,6 +32,7 @@
     "safety": {**WIRE["safety"], "keyQuietUs": int(QUIET_S * 1e6)},
 }
 KEY, OTHER_KEY = "00000000000000a1", "00000000000000a2"
+FATAL_TOKEN = -1
 ORDERED_READS = 3  # the class of tests.helpers whose requests keep their order
 SHORT_S = 0.1  # longer than all intervals of the hand-over together
 
@@ -305,6 +309,46 @@
     asyncio.run(course())
 
 
+# --- a decision module that failed ---------------------------------------------------------------
+
+
+class FailingScheduler(Scheduler):
+    """Fails once at a timer event."""
+
+    has_failed = False
+
+    def decide(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+        if api.TimerFired(FATAL_TOKEN) in events and not FailingScheduler.has_failed:
+            FailingScheduler.has_failed = True
+            raise RuntimeError("a fault of the broker itself")
+        return super().decide(now_us, events)
+
+
+def test_a_key_is_held_where_the_decision_module_fails_with_a_request_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests of one key at once: the replaced module does not know the open attempts."""
+    monkeypatch.setattr(FailingScheduler, "has_failed", False)
+    core = Reducer(SETTINGS, 1, FailingScheduler)
+    deadline_at_us = START_US + 500_000
+
+    def started(now_us: int, event: ev.Event) -> list[str]:
+        effects = core.step(now_us, [event])
+        return [each.request_id for each in effects if isinstance(each, ev.StartAttempt)]
+
+    def arrival(request_id: str, deadline_at_us: int) -> ev.RequestArrived:
+        request = api.Arrival(request_id, ORDERED_READS, 0, "v", 0, deadline_at_us, key="k")
+        return ev.RequestArrived(request)
+
+    core.step(START_US, [ev.EndpointsUpdated(api.EndpointUpdate("cached", TWO_NODES))])
+    assert started(START_US, arrival("r1", deadline_at_us)) == ["r1"]
+    core.step(START_US + 1_000, [ev.TimerFired(FATAL_TOKEN)])
+    assert core.counts["module_faults"] == 1
+    over_at_us = deadline_at_us + SETTINGS.key_quiet_us
+    assert started(over_at_us - 10_000, arrival("r2", over_at_us + 2_000_000)) == []
+    assert started(over_at_us + 10_000, ev.TimerFired(0)) == ["r2"]
+
+
 # --- decisions -----------------------------------------------------------------------------------
 
 
