Judge a node's pause in a response by what the request can spare

Cause: 60 ms without a byte counted as malformed (STALL_TIMEOUT_S), for nodes that state more than they send.

Change: the decision module says with each attempt how long a pause may be (retry.silence_limits): half of the time until another attempt would be too late, for the objective at the first one, for the deadline at later ones and in a body without a length; none where no other attempt may follow. A response that states more than 64 KiB is not judged by pauses. One that is incomplete at its deadline still counts as a node that answers, as a malformed one does.

--- a/harriertide/core/events.py
+++ b/harriertide/core/events.py
@@ -123,7 +123,7 @@
     """Send the request to the node if `Reducer.may_write` permits it right before the first byte is written.
 
     stop_at_us: when the attempt must end. not_before_us: the earliest time to write the first byte; 0 for
-    immediately.
+    immediately. silence: the longest pauses within the response.
     """
 
     request_id: str
@@ -131,6 +131,7 @@
     node_id: str
     stop_at_us: int
     not_before_us: int = 0
+    silence: api.SilenceLimits = api.NO_SILENCE_LIMITS
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/core/request_lifecycle.py
+++ b/harriertide/core/request_lifecycle.py
@@ -96,6 +96,8 @@
                 action.node_id,
                 attempt.stop_at_us,
                 not_before_us=retry_not_before_us if retry_not_before_us > now_us else 0,
+                # a body that was streamed cannot be sent again, so no other attempt could follow
+                silence=api.NO_SILENCE_LIMITS if request.streams_body else action.silence,
             )
         )
         return None
--- a/harriertide/decide/api/__init__.py
+++ b/harriertide/decide/api/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from harriertide.decide.api.actions import (
+    NO_SILENCE_LIMITS,
     Action,
     CancelAttempt,
     Fail,
@@ -15,6 +16,7 @@
     Reject,
     SendPeerMessage,
     SetTimer,
+    SilenceLimits,
     StartAttempt,
     StartProbe,
     WatchEndpoints,
@@ -59,6 +61,7 @@
     "KeysHeld",
     "LogLine",
     "NOT_EXECUTED_OUTCOMES",
+    "NO_SILENCE_LIMITS",
     "NodeEntry",
     "OutcomeKind",
     "PeerMessageReceived",
@@ -71,6 +74,7 @@
     "SetTimer",
     "Settings",
     "SettingsChanged",
+    "SilenceLimits",
     "StartAttempt",
     "StartProbe",
     "TimerFired",
--- a/harriertide/decide/api/actions.py
+++ b/harriertide/decide/api/actions.py
@@ -6,13 +6,29 @@
 from typing import Literal, TypeAlias
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """The longest pauses of a node within its response; None: no limit but the end of the attempt.
+
+    :ivar sized_us: within the head, and within a body whose head states its length
+    :ivar unsized_us: within a body whose head does not state its length, and which may be long
+    """
+
+    sized_us: int | None = None
+    unsized_us: int | None = None
+
+
+NO_SILENCE_LIMITS = SilenceLimits()
+
+
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send a request to a node; the attempt must end by stop_at_us."""
+    """Send a request to a node; the attempt must end by stop_at_us, or when a pause exceeds its limit."""
 
     request_id: str
     node_id: str
     stop_at_us: int
+    silence: SilenceLimits = NO_SILENCE_LIMITS
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/decide/dispatch.py
+++ b/harriertide/decide/dispatch.py
@@ -12,7 +12,7 @@
 from harriertide.decide.placement import MAX_IN_FLIGHT_COUNT, MIN_IN_FLIGHT_COUNT, Placement
 from harriertide.decide.rate_limits import RateLimits
 from harriertide.decide.responses import Responses
-from harriertide.decide.retry import RetryBudget, is_deduplicated, may_attempt
+from harriertide.decide.retry import RetryBudget, is_deduplicated, may_attempt, silence_limits
 from harriertide.decide.slow_start import SlowStart
 from harriertide.decide.state import NodeState, OpenAttempt, RequestState, ShardState
 from harriertide.decide.warming import is_warming
@@ -195,6 +195,8 @@
 
     def _send(self, request: RequestState, node: NodeState) -> None:
         context = self._context
+        expected_us = self._latency.expected_us(node, request.arrival.request_class)
+        silence = silence_limits(request, context.settings, context.now_us, expected_us)
         request.open_attempts[request.attempt_count] = OpenAttempt(node, context.now_us)
         request.attempt_count += 1
         node.open_attempt_count += 1
@@ -207,4 +209,4 @@
         stop_at_us = (
             request.objective_at_us if brokers_exceed_in_flight_limit else request.arrival.deadline_at_us
         )
-        context.emit(api.StartAttempt(request.id, node.id, stop_at_us))
+        context.emit(api.StartAttempt(request.id, node.id, stop_at_us, silence))
--- a/harriertide/decide/retry.py
+++ b/harriertide/decide/retry.py
@@ -23,6 +23,35 @@
     return request.request_class.idempotency != "non_idempotent" or not request.may_have_run
 
 
+def silence_limits(
+    request: RequestState, settings: api.Settings, now_us: int, expected_us: float
+) -> api.SilenceLimits:
+    """How long the node of a new attempt may pause within its response before another attempt is worth more.
+
+    A node that pauses may go on, or may never end its response. It is given half of the time that can pass
+    until another attempt would be too late: for the request's objective at its first attempt, and for its
+    deadline at later ones, where no second attempt could meet the objective, and where the response may be a
+    long one.
+
+    :param expected_us: the expected latency of an attempt; this one and the next take so long each
+    :returns: no limits if no attempt may follow, so that nothing is gained by giving this one up
+    """
+    is_last = request.attempt_count + 1 >= settings.max_attempts
+    if is_last or request.request_class.idempotency == "non_idempotent":
+        return api.NO_SILENCE_LIMITS
+    within_deadline_us = _half_of_spare_time(request.arrival.deadline_at_us - now_us, expected_us)
+    within_objective_us = None
+    if not request.attempt_count:
+        within_objective_us = _half_of_spare_time(request.objective_at_us - now_us, expected_us)
+    return api.SilenceLimits(within_objective_us or within_deadline_us, within_deadline_us)
+
+
+def _half_of_spare_time(remaining_us: int, expected_us: float) -> int | None:
+    """Half of the time that two attempts one after the other leave; None if it is too short for one more."""
+    half_us = (remaining_us - 2 * expected_us) / 2
+    return int(half_us) if half_us >= max(1.0, expected_us) else None
+
+
 def is_deduplicated(request: RequestState, node: NodeState, now_us: int) -> bool:
     """Whether a node is within the deduplication scope and window of a keyed request that may have run."""
     first_node, request_class = request.executed_on, request.request_class
--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -29,6 +29,7 @@
     node_id: str
     stop_at_us: int
     not_before_us: int = 0  # the earliest time to write the first byte; 0: immediately
+    silence: api.SilenceLimits = api.NO_SILENCE_LIMITS  # the longest pauses within the response
     body_written_us: int = 0  # when the last byte of a streamed body was written; set by the job
 
     def may_write(self) -> api.OutcomeKind | None:
@@ -222,6 +223,7 @@
             effect.node_id,
             effect.stop_at_us,
             effect.not_before_us,
+            effect.silence,
         )
         job = self._jobs[effect.request_id]
         context = job.context.copy() if job.context is not None else None
--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -48,11 +48,13 @@
         """Return the error for an exchange that was interrupted or timed out.
 
         A node executes a request only after its last byte, so a request that was not fully written never ran.
-        A malformed response still shows that the node is alive and how fast it responds.
+        A response that is malformed, or not complete in time, still shows that the node is alive.
         """
         connection = self.connection
         if connection is not None and connection.is_malformed:
             return NodeFailureError("error", "malformed response")
+        if connection is not None and outcome == "timeout" and connection.has_partial_response:
+            return NodeFailureError("error", "the response was not complete before the deadline")
         if connection is None or not self._is_written_out(connection):
             return NodeFailureError("connect_failed", f"{reason} before the request was written out")
         return NodeFailureError(outcome, reason)
@@ -123,7 +125,7 @@
                 first_part = body if isinstance(body, bytes) else await anext(body)
                 connection = await self._acquire(exchange, address, attempt, timeout)
                 head = encode_request_head(method, target, header_rows(headers))
-                connection.send_request(head + first_part, max_body_bytes, may_forward)
+                connection.send_request(head + first_part, max_body_bytes, may_forward, attempt.silence)
                 self.pool.mark_active(connection, attempt.request_id)
                 exchange.is_sent = True
                 if not isinstance(body, bytes):
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -17,6 +17,7 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from harriertide.decide import api
 from harriertide.http.response_framing import (
     BODILESS_STATUSES,
     END_OF_CHUNKS,
@@ -36,8 +37,9 @@
 FORWARD_READ_AHEAD_BYTES = 32 * 1024  # READ_AHEAD_BYTES for a response that is forwarded
 # Maximum memory for one forwarded response on both sides of the broker together; exceeded only briefly.
 FORWARD_BUFFER_BYTES = 4 * FORWARD_READ_AHEAD_BYTES
-# Between two reads of a buffered response. Nodes send a response without pauses; one that pauses never ends.
-STALL_TIMEOUT_S = 0.06
+# An attempt whose response is forwarded ends after this many bytes of the body, or before that. A node may
+# write a longer response as slowly as it likes.
+FIRST_PART_BYTES = 64 * 1024
 
 
 def limit_read_size(transport: asyncio.BaseTransport) -> None:
@@ -88,6 +90,7 @@
         self._is_chunked = False
         self._body_tail = b""  # the last len(END_OF_CHUNKS) bytes of a chunked body
         self._has_received_eof = False
+        self._silence = api.NO_SILENCE_LIMITS
         self._stall_timer: SilenceTimer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -120,12 +123,20 @@
 
     # --- requests ------------------------------------------------------------------------------
 
-    def send_request(self, data: bytes, max_body_bytes: int | None, may_forward: bool = False) -> None:
+    def send_request(
+        self,
+        data: bytes,
+        max_body_bytes: int | None,
+        may_forward: bool = False,
+        silence: api.SilenceLimits = api.NO_SILENCE_LIMITS,
+    ) -> None:
         """Write a request, or its head and the first part of its body.
 
         :param max_body_bytes: maximum length of the response body; None: the whole response is buffered, and
             the pool's max_response_bytes applies
         :param may_forward: the first part of the response is buffered, and the rest may be forwarded
+        :param silence: the longest pauses within the part of the response that is buffered; beyond them it
+            counts as malformed
         :raises ClientConnectionResetError: the connection is closed
         """
         if self.transport is None:
@@ -134,6 +145,7 @@
         self._message = None
         self._head_buffer.start_response()
         self._is_buffered = max_body_bytes is None or may_forward
+        self._silence = silence
         self._max_body_bytes = self._pool.max_response_bytes if max_body_bytes is None else max_body_bytes
         self._max_buffered_bytes = FORWARD_BUFFER_BYTES if may_forward else self._max_body_bytes
         self.set_response_params(
@@ -174,6 +186,12 @@
                 sock.shutdown(socket.SHUT_RDWR)
         super().abort()
 
+    @property
+    def has_partial_response(self) -> bool:
+        """Whether a part of the response has arrived, and its end has not."""
+        is_in_body = self._phase in (ResponsePhase.SIZED_BODY, ResponsePhase.UNSIZED_BODY)
+        return is_in_body or (self._phase is ResponsePhase.HEAD and not self._head_buffer.is_empty)
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may use the connection: the response is complete, without surplus."""
@@ -283,6 +301,8 @@
             return
         if length is not None:
             self._remaining_bytes = length
+            if length > FIRST_PART_BYTES:
+                self._silence = api.NO_SILENCE_LIMITS
             self._phase = ResponsePhase.SIZED_BODY if length else ResponsePhase.COMPLETE
             if length > self._max_body_bytes or (self._is_buffered and not self._reserve_memory(length)):
                 self._fail(MalformedResponseError("response body exceeds its size or memory limit"))
@@ -306,12 +326,18 @@
     def _set_stall_timer(self, is_enabled: bool) -> None:
         """Restart or cancel the timer that detects an incomplete response.
 
-        Guards against nodes that announce a longer body than they send and keep the connection open: once a
-        part has arrived, the rest follows immediately or never. Forwarded responses are not timed.
+        Guards against nodes that announce a longer body than they send and keep the connection open. A node
+        that writes slowly looks the same, so the limit is what the request can spare for another attempt.
+        Responses that are forwarded, and those that are known to be longer than their first part, are not
+        timed.
         """
         if self._stall_timer is not None:
             self._stall_timer.cancel()
-        self._stall_timer = SilenceTimer(self._loop, STALL_TIMEOUT_S, self._on_stall) if is_enabled else None
+            self._stall_timer = None
+        is_unsized = self._phase is ResponsePhase.UNSIZED_BODY
+        max_silence_us = self._silence.unsized_us if is_unsized else self._silence.sized_us
+        if is_enabled and max_silence_us is not None:
+            self._stall_timer = SilenceTimer(self._loop, max_silence_us / 1e6, self._on_stall)
 
     def _on_stall(self) -> None:
         self._stall_timer = None
--- a/harriertide/http/node_response.py
+++ b/harriertide/http/node_response.py
@@ -10,11 +10,10 @@
 
 from harriertide.decide import api
 from harriertide.http.body_stream import ResponseRemainder
-from harriertide.http.node_connection import NodeConnection
+from harriertide.http.node_connection import FIRST_PART_BYTES, NodeConnection
 
-# An attempt whose response is forwarded ends after this many bytes of the body, or this long after the first
+# An attempt whose response is forwarded ends after FIRST_PART_BYTES of the body, or this long after the first
 # bytes. A failure before that point can still be retried.
-FIRST_PART_BYTES = 64 * 1024
 FIRST_PART_WAIT_S = 0.05
 FIRST_PART_MIN_BYTES = 4096  # of a body of unknown length, before its attempt may end
 
--- a/harriertide/http/response_framing.py
+++ b/harriertide/http/response_framing.py
@@ -40,6 +40,11 @@
         self._partial = b""
         self._total_bytes = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no part of a head waits for the rest."""
+        return not self._partial
+
     def start_response(self) -> None:
         """Reset the byte count for the heads of the next response."""
         self._total_bytes = 0
