Keep a key quiet after a response that the broker has given up

Cause: such attempts ended as "error", which stands for a node that has answered and is done; the quiet time followed timeout, reset and cancelled.

Change: they end as "incomplete". One table says what each outcome tells of the execution (api.EXECUTION_BY_OUTCOME); quiet time, retry gap and "not executed" are read from it. The library's client raises NodeResponseError for it, where it would have raised NotWrittenError.

--- a/harriertide/core/requests.py
+++ b/harriertide/core/requests.py
@@ -12,7 +12,7 @@
 # is short of processor time. Without a gap, nodes can hold both attempts at once and execute a non-idempotent
 # request twice. docs/measurements/second-copy.md lists the frequency by length of the gap.
 RETRY_GAP_US = 12_000
-_INTERRUPTED_OUTCOMES: frozenset[api.OutcomeKind] = frozenset({"timeout", "reset", "cancelled", "error"})
+_INTERRUPTED_OUTCOMES = api.POSSIBLY_RUNNING_OUTCOMES | {"error"}
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/decide/api/events.py
+++ b/harriertide/decide/api/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Literal, TypeAlias
 
 from harriertide.decide.api.settings import Settings
@@ -70,20 +71,58 @@
     attempt: int
 
 
-# ok: the node served the request. error: the node failed to serve it. rejected: the node takes no more
-# requests at present. timeout, connect_failed, reset: the connection brought no answer. cancelled: by this
-# broker. not_sent: nothing was sent, or the node says that the request has expired or belongs to another
-# node; another attempt there would not help. withheld: nothing was sent, for a reason that does not concern
-# the node; another attempt may help.
+# ok: the node served the request. error: the node answered that it failed to serve it. incomplete: the node's
+# response was malformed, or did not end in time. rejected: the node takes no more requests at present.
+# timeout, connect_failed, reset: the connection brought no answer. cancelled: by this broker. not_sent:
+# nothing was sent, or the node says that the request has expired or belongs to another node; another attempt
+# there would not help. withheld: nothing was sent, for a reason that does not concern the node; another
+# attempt may help.
 OutcomeKind: TypeAlias = Literal[
-    "ok", "error", "rejected", "timeout", "connect_failed", "reset", "cancelled", "not_sent", "withheld"
+    "ok",
+    "error",
+    "incomplete",
+    "rejected",
+    "timeout",
+    "connect_failed",
+    "reset",
+    "cancelled",
+    "not_sent",
+    "withheld",
 ]
+
+
+class Execution(Enum):
+    """What the end of an attempt says of its execution at the node."""
+
+    NONE = "the attempt had no effect"
+    ENDED = "the node is done with the attempt, which may have had its effect"
+    POSSIBLY_RUNNING = "the node may still run the attempt"
+
+
+EXECUTION_BY_OUTCOME: dict[OutcomeKind, Execution] = {
+    "ok": Execution.ENDED,
+    "error": Execution.ENDED,
+    "incomplete": Execution.POSSIBLY_RUNNING,
+    "rejected": Execution.NONE,
+    "timeout": Execution.POSSIBLY_RUNNING,
+    "connect_failed": Execution.NONE,
+    "reset": Execution.POSSIBLY_RUNNING,
+    "cancelled": Execution.POSSIBLY_RUNNING,
+    "not_sent": Execution.NONE,
+    "withheld": Execution.NONE,
+}
+
+
+def _outcomes_of(execution: Execution) -> frozenset[OutcomeKind]:
+    return frozenset(kind for kind, each in EXECUTION_BY_OUTCOME.items() if each is execution)
+
+
 # Outcomes in which the node did not respond.
 UNRESPONSIVE_OUTCOMES: frozenset[OutcomeKind] = frozenset({"timeout", "connect_failed", "reset"})
 # Outcomes that prove that the attempt had no effect.
-NOT_EXECUTED_OUTCOMES: frozenset[OutcomeKind] = frozenset(
-    {"rejected", "connect_failed", "not_sent", "withheld"}
-)
+NOT_EXECUTED_OUTCOMES = _outcomes_of(Execution.NONE)
+# Outcomes after which the node may still run the attempt.
+POSSIBLY_RUNNING_OUTCOMES = _outcomes_of(Execution.POSSIBLY_RUNNING)
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/decide/health.py
+++ b/harriertide/decide/health.py
@@ -28,7 +28,7 @@
 HUNG_OVERTAKING_COUNT = 2
 HUNG_LATENCY_FACTOR = 5.0
 
-RESPONSIVE_OUTCOMES: frozenset[api.OutcomeKind] = frozenset({"ok", "error", "rejected"})
+RESPONSIVE_OUTCOMES: frozenset[api.OutcomeKind] = frozenset({"ok", "error", "incomplete", "rejected"})
 
 
 class HealthChecks:
--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -49,9 +49,6 @@
 from harriertide.decide.state import NodeState, OpenAttempt, RequestState, ShardState
 from harriertide.decide.warming import assume_all_granted
 
-# After these outcomes the node may still be running the attempt, so the next request of its key waits.
-_POSSIBLY_RUNNING_OUTCOMES: frozenset[api.OutcomeKind] = frozenset({"timeout", "reset", "cancelled"})
-
 
 class Scheduler:
     """Makes the decisions of one broker: takes events, returns actions, and does no I/O.
@@ -284,7 +281,7 @@
         self._release_attempt(request, node)
         if outcome.kind not in api.NOT_EXECUTED_OUTCOMES:
             request.record_execution(node, attempt.sent_at_us)
-        if outcome.kind in _POSSIBLY_RUNNING_OUTCOMES:
+        if outcome.kind in api.POSSIBLY_RUNNING_OUTCOMES:
             self.key_queues.start_quiet_period(request)
         self.health.on_outcome(node, outcome.kind)
         self.demand.mark_active(shard)
--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -52,9 +52,9 @@
         """
         connection = self.connection
         if connection is not None and connection.is_malformed:
-            return NodeFailureError("error", "malformed response")
+            return NodeFailureError("incomplete", "malformed response")
         if connection is not None and outcome == "timeout" and connection.has_partial_response:
-            return NodeFailureError("error", "the response was not complete before the deadline")
+            return NodeFailureError("incomplete", "the response was not complete before the deadline")
         if connection is None or not self._is_written_out(connection):
             return NodeFailureError("connect_failed", f"{reason} before the request was written out")
         return NodeFailureError(outcome, reason)
--- a/harriertide/library/__init__.py
+++ b/harriertide/library/__init__.py
@@ -12,6 +12,7 @@
     NodeConnectionLostError,
     NodeError,
     NodeOverloadedError,
+    NodeResponseError,
     NodeTimeoutError,
     NodeUnreachableError,
     NotWrittenError,
@@ -27,6 +28,6 @@
 __all__ = [
     "Attempt", "AttemptError", "Broker", "Discovery", "FailedError", "InProcessPeers", "LoopbackPeers",
     "Node", "NodeClientView", "NodeConnectionLostError", "NodeError", "NodeList", "NodeOverloadedError",
-    "NodeTimeoutError", "NodeUnreachableError", "NotWrittenError", "OperatorFile", "RejectedError",
-    "RequestError", "RequestSpec",
+    "NodeResponseError", "NodeTimeoutError", "NodeUnreachableError", "NotWrittenError", "OperatorFile",
+    "RejectedError", "RequestError", "RequestSpec",
 ]  # fmt: skip
--- a/harriertide/library/errors.py
+++ b/harriertide/library/errors.py
@@ -23,6 +23,12 @@
     outcome: api.OutcomeKind = "error"
 
 
+class NodeResponseError(NodeError):
+    """The node's response was malformed, or did not end in time; the attempt may still be running."""
+
+    outcome: api.OutcomeKind = "incomplete"
+
+
 class NodeOverloadedError(NodeError):
     """The node rejected the attempt; it never executed."""
 
@@ -62,6 +68,7 @@
     error.outcome: error
     for error in (
         NodeError,
+        NodeResponseError,
         NodeOverloadedError,
         NodeUnreachableError,
         NodeConnectionLostError,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from typing import get_args
+
+import pytest
+
 from harriertide.decide import api
 from harriertide.decide.placement import MAX_IN_FLIGHT_COUNT
 from tests.helpers import (
@@ -73,6 +77,16 @@
     assert [s.request_id for s in started_attempts(broker.advance(100_000, 10_000))] == ["r2"]
 
 
+@pytest.mark.parametrize("kind", get_args(api.OutcomeKind))
+def test_a_key_is_quiet_after_each_outcome_that_leaves_its_attempt_running(kind: api.OutcomeKind) -> None:
+    """Guards against an end of an attempt that says its node is done with it, when nobody knows."""
+    broker = BrokerUnderTest(key_quiet_us=150_000)
+    broker.request(3, key="k")
+    broker.finish_attempt("r1", kind, is_final=True)
+    is_quiet = "k" in broker.scheduler.key_queues.open_keys().keys
+    assert is_quiet == (kind in ("incomplete", "timeout", "reset", "cancelled"))
+
+
 def test_a_request_of_a_quiet_key_does_not_hold_up_others_of_its_shard() -> None:
     """Guards against a shard that serves nothing for as long as the key of its first request is quiet."""
     broker = BrokerUnderTest(key_quiet_us=150_000)
--- a/tests/test_key_order_across_processes.py
+++ b/tests/test_key_order_across_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -20,7 +21,7 @@
 from harriertide.lifecycle.process_registry import ProcessRegistry
 from tests.helpers import SETTINGS, START_US, TWO_NODES, BrokerUnderTest, rejections, started_attempts
 from tests.scenario import HttpConnection
-from tests.socket_broker import send_response
+from tests.socket_broker import SocketBroker, receive_all, run_with_broker, send_response
 from tests.socket_broker import short_shutdown as short_shutdown  # a fixture
 from tests.test_net import WIRE
 from tests.test_upgrade import PATIENCE_S, Platform, kill, on_platform
@@ -234,6 +235,37 @@
     on_ordered_platform(course, tmp_path, monkeypatch)
 
 
+# --- one process ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "response",
+    [b"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\nxx", b"\x00\xff no answer\r\n\r\n"],
+    ids=["not complete at the deadline", "malformed"],
+)
+def test_a_key_is_quiet_after_a_response_that_the_broker_gives_up(response: bytes) -> None:
+    """Guards against two requests of one key at once: the node may still run the first, as after a reset."""
+
+    async def scenario(broker: SocketBroker) -> None:
+        def send(budget_ms: int) -> socket.socket:
+            client = broker.connect()
+            request = broker.request().replace(b"Budget-Ms: 1500", b"Budget-Ms: %d" % budget_ms)
+            client.sendall(request.replace(b"GET /api ", b"GET /api?key=%b " % KEY.encode()))
+            return client
+
+        first = send(budget_ms=100)
+        (await broker.next_request()).writer.write(response)
+        assert b" 502 " in (await receive_all(first, until=b"failed\n"))[:15]
+        second = send(budget_ms=1500)
+        await asyncio.sleep(QUIET_S - SHORT_S)
+        assert broker.node.requests.empty()
+        send_response(await broker.next_request())
+        assert b" 200 " in (await receive_all(second, until=b"ok"))[:15]
+
+    not_repeated = {**ORDERED_WIRE["classes"][0], "effect": "at_most_once"}
+    run_with_broker(scenario, wire={**ORDERED_WIRE, "classes": [not_repeated]})
+
+
 # --- the files between processes -----------------------------------------------------------------
 
 
