Have a test of maintenance wait for the reason that follows the phase

Cause, traced: a step's phase comes with the agreed log, its reason to wait with the leader's next update. In four traced plays the status had "waiting" without a reason for 24 to 49 ms, in one of them until 2 ms before the first machine was out, which is when the test read both once.

Change: the test asks until the reason is there, within its usual patience, and now asserts at each look that the second machine still waits; it looked once. The program stays: operators see a reason late by one update.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -319,8 +319,14 @@
     async def scenario(rig: Rig) -> None:
         await submit_order(rig, ["x1", "x2"], at_once=2)
         await wait_for_phase(rig, "x1", "out")
-        step_row = (await get_status(rig))["orders"][0]["steps"][1]
-        assert step_row["phase"] == "waiting" and "units a second would be left" in str(step_row["waits"])
+
+        async def probe_reason() -> bool:
+            step_row = (await get_status(rig))["orders"][0]["steps"][1]
+            assert step_row["phase"] == "waiting"
+            return "units a second would be left" in str(step_row["waits"])
+
+        # the phase comes with the log, the reason with the leader's next update
+        await wait_until_true(probe_reason)
         await rig.ask(0, "POST", "/maintenance/done", {"machine": "x1"})
         await wait_for_phase(rig, "x1", "returning")
         start_s = time.monotonic()
