Publish what the decision module holds itself, and prolong holds that last on

What a superseded process told newer ones came from the watcher of older processes, so a hold of the decision module's replacement after a fault was missing; and a request that was held started at the end of the first hold where a later event prolonged it (a streamed body may outlast the longest deadline of a class).

Change: KeyQueues.open_keys has its own keys with those it holds; hold() keeps the later time.

Evidence: test_a_hold_that_is_prolonged_lasts_until_its_later_time and test_what_a_process_holds_for_others_is_open_at_it_too fail on the text before.

--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -277,12 +277,10 @@
         runtime.handle_now(ev.KeysHeld(api.KeysHeld(held.keys, runtime.clock.unix_us(held.until_s))))
 
     def _read_open_keys(self) -> OpenKeysRecord:
-        """Return the keys that this process has not finished, with those that it holds for older ones."""
         scheduler = self._process.core.scheduler
         assert isinstance(scheduler, Scheduler)
-        own, held = scheduler.key_queues.open_keys(), self._held_keys.held
-        keys = own.keys | held.keys if held.keys is not None else None
-        return OpenKeysRecord(keys, max(self._process.runtime.clock.loop_time(own.until_us), held.until_s))
+        open_keys = scheduler.key_queues.open_keys()
+        return OpenKeysRecord(open_keys.keys, self._process.runtime.clock.loop_time(open_keys.until_us))
 
     def _longest_ordered_s(self) -> float:
         classes = self._process.core.settings.classes
--- a/harriertide/decide/key_queues.py
+++ b/harriertide/decide/key_queues.py
@@ -14,12 +14,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenKeys:
-    """The keys with requests or quiet periods at this broker.
+    """The keys that this process has not finished: with requests, quiet, or held for others.
 
+    :ivar keys: None: every key
     :ivar until_us: by then all of them are over, as no attempt outlives its request's deadline
     """
 
-    keys: frozenset[str]
+    keys: frozenset[str] | None
     until_us: int
 
 
@@ -72,7 +73,11 @@
         """Hold keys that have no request yet, and release those that were held and are not any more."""
         self._held = held
         for key, queue in list(self._queues.items()):
-            if queue.held_until_us and not self._is_held(key):
+            if not queue.held_until_us:
+                continue
+            if self._is_held(key):
+                queue.held_until_us = max(queue.held_until_us, held.until_us)
+            else:
                 queue.held_until_us = 0
                 self._advance(key, queue)
 
@@ -82,9 +87,13 @@
 
     def open_keys(self) -> OpenKeys:
         """The keys that a newer process of this broker must hold until this one is done with them."""
-        return OpenKeys(
-            frozenset(self._queues), max(map(self._closed_by_us, self._queues.values()), default=0)
-        )
+        own_keys = frozenset(self._queues)
+        until_us = max(map(self._closed_by_us, self._queues.values()), default=0)
+        held = self._held
+        if held.until_us <= self._context.now_us:
+            return OpenKeys(own_keys, until_us)
+        keys = own_keys | held.keys if held.keys is not None else None
+        return OpenKeys(keys, max(until_us, held.until_us))
 
     def _closed_by_us(self, queue: KeyQueue) -> int:
         deadlines: Iterable[int] = (request.arrival.deadline_at_us for request in queue.members)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -83,7 +83,7 @@
     broker = BrokerUnderTest(key_quiet_us=150_000)
     broker.request(3, key="k")
     broker.finish_attempt("r1", kind, is_final=True)
-    is_quiet = "k" in broker.scheduler.key_queues.open_keys().keys
+    is_quiet = broker.scheduler.key_queues.open_keys().keys == {"k"}
     assert is_quiet == (kind in ("incomplete", "timeout", "reset", "cancelled"))
 
 
--- a/tests/test_key_order_across_processes.py
+++ b/tests/test_key_order_across_processes.py
@@ -397,6 +397,28 @@
     assert [each.request_id for each in started_attempts(released)] == ["r1"]
 
 
+def test_a_hold_that_is_prolonged_lasts_until_its_later_time() -> None:
+    """Guards against a request that starts at the end of the first hold, as it came before the second."""
+    broker = BrokerUnderTest()
+    broker.handle(api.KeysHeld(None, broker.now_us + 50_000))
+    assert not started_attempts(broker.request(ORDERED_READS, key="k"))
+    broker.handle(api.KeysHeld(frozenset({"k"}), broker.now_us + 150_000))
+    assert not started_attempts(broker.advance(140_000, 10_000))
+    assert started_attempts(broker.advance(20_000, 10_000))
+
+
+@pytest.mark.parametrize("held", [None, frozenset({"other"})])
+def test_what_a_process_holds_for_others_is_open_at_it_too(held: frozenset[str] | None) -> None:
+    """A third process waits for the first one through the second, and for attempts of a failed module."""
+    broker = BrokerUnderTest()
+    broker.request(ORDERED_READS, key="k")
+    until_us = broker.now_us + 5_000_000
+    broker.handle(api.KeysHeld(held, until_us))
+    open_keys = broker.scheduler.key_queues.open_keys()
+    assert open_keys.keys == (None if held is None else {"k", "other"})
+    assert open_keys.until_us == until_us
+
+
 def test_a_hold_ends_at_its_time_where_nobody_ends_it() -> None:
     """Guards against a key that is held for good, as no event releases it."""
     broker = BrokerUnderTest()
@@ -417,4 +439,4 @@
     assert keys.open_keys().keys == {"k"}
     assert keys.open_keys().until_us >= broker.now_us + broker.settings.key_quiet_us
     broker.advance(broker.settings.key_quiet_us + 50_000)
-    assert not keys.open_keys().keys
+    assert keys.open_keys().keys == frozenset()
