Have the upgrade experiment send requests whose keys have an order

Cause: the experiment with real processes, kills and upgrades in a row had no class with an order, so it could not see the order that an upgrade broke.

Change: a fifth of its requests are of the class "store" (three keys, 60 ms at the node, quiet time 0.2 s). Its checker counts requests of a key that come while another of that key is out (crossed-keys); a seeded fault in test_operations. Other experiments send none, so their draws stay.

--- a/harriertide/lab/checkers/upgrade_checker.py
+++ b/harriertide/lab/checkers/upgrade_checker.py
@@ -36,6 +36,7 @@
     requests: int = 0
     lost: int = 0
     excess_attempts: int = 0  # of a request that has one open, or has had all that it may have
+    crossed_keys: int = 0  # requests of a key with an order that came while another of that key was out
     closed_unread: int = 0  # connections closed before a request on them was read: the client repeats it
     over_limit: int = 0
     slow_start_overloads: int = 0
@@ -49,9 +50,8 @@
     @property
     def broken(self) -> bool:
         """Whether a rule is broken or a step failed. Connections that were closed unread are no fault."""
-        upgrades = (
-            self.lost + self.excess_attempts + self.over_limit + self.slow_start_overloads + self.after_drain
-        )
+        requests = self.lost + self.excess_attempts + self.crossed_keys
+        upgrades = requests + self.over_limit + self.slow_start_overloads + self.after_drain
         drains = self.lingering_connections + self.late_rejoins + self.late_operator_answers
         return bool(upgrades + drains) or bool(self.failed)
 
@@ -81,6 +81,7 @@
     )
     _check_answers(verdict, clients, platform)
     _check_attempts(verdict, nodes)
+    _check_key_order(verdict, nodes)
     _check_closed_unread(verdict, clients, nodes, platform)
     _check_limit(verdict, nodes)
     _check_slow_start(verdict, nodes, platform)
@@ -129,6 +130,20 @@
         verdict.excess_attempts += open_counts[request] > 1 or attempt_counts[request] > MAX_ATTEMPTS
 
 
+def _check_key_order(verdict: Verdict, nodes: list[Row]) -> None:
+    """Requests of one key, in classes with an order, are at nodes one at a time."""
+    key_by_request: dict[str, str] = {}
+    open_by_key: dict[str, set[str]] = defaultdict(set)
+    for row in nodes:
+        request = row["request"]
+        if row["event"] in ("answered", "left"):
+            open_by_key[key_by_request.get(request, "")].discard(request)
+        elif key := row.get("key"):
+            key_by_request[request] = key
+            verdict.crossed_keys += bool(open_by_key[key] - {request})
+            open_by_key[key].add(request)
+
+
 def _check_closed_unread(verdict: Verdict, clients: list[Row], nodes: list[Row], platform: list[Row]) -> None:
     """A request whose connection was closed before it was read is not forwarded, neither before nor later.
 
--- a/harriertide/lab/experiments/upgrades.py
+++ b/harriertide/lab/experiments/upgrades.py
@@ -27,6 +27,8 @@
 from harriertide.lab.rigs.folders import kept_or_temporary
 from harriertide.lab.rigs.single_broker import SingleBrokerRig
 
+STORE_RATIO = 0.2  # of requests whose key has an order
+
 
 async def run_cases(folder: Path, seed: int, cases: list[str]) -> None:
     """Upgrade once for each case; what happened is in the folder's logs.
@@ -39,6 +41,7 @@
     try:
         run = UpgradeRun(rig)
         await run.start_first_process()
+        rig.clients.store_ratio = STORE_RATIO
         load = asyncio.create_task(rig.clients.offer(stop))
         await run.pause(SETTLE_S)
         for case in cases:
@@ -58,7 +61,8 @@
     """The counts of a run as one row."""
     return (
         f"upgrades {upgrades} requests {verdict.requests} lost {verdict.lost} "
-        f"twice {verdict.excess_attempts} not-let-in {verdict.closed_unread} over-limit {verdict.over_limit} "
+        f"twice {verdict.excess_attempts} crossed-keys {verdict.crossed_keys} "
+        f"not-let-in {verdict.closed_unread} over-limit {verdict.over_limit} "
         f"cold-falls {verdict.slow_start_overloads} "
         f"after-drain {verdict.after_drain} failed {len(verdict.failed)} ready-p99 {verdict.ready_p99:.2f}"
     )
--- a/harriertide/lab/rigs/clients.py
+++ b/harriertide/lab/rigs/clients.py
@@ -17,6 +17,7 @@
 INITIAL_RATE = 120.0  # requests a second
 LONG_RESPONSE_RATIO = 0.02  # of requests
 WRITE_BODY = "kk"
+STORE_KEY_COUNT = 3  # of requests whose key has an order
 
 
 class ConnectionEndedError(Exception):
@@ -63,7 +64,9 @@
     """A request that a client is about to send.
 
     :ivar long: the node is to answer with LONG_BYTES
-    :ivar request_class: "read", or "append" for one that may run once only
+    :ivar request_class: "read", "append" for one that may run once only, or "store" for one whose key has an
+        order
+    :ivar object_key: of a "store"
     """
 
     key: int
@@ -72,6 +75,7 @@
     shard: int
     long: bool
     request_class: str = "read"
+    object_key: int | None = None
 
     def request_id(self, attempt: int) -> str:
         """A repeat is a request of its own: a process that was killed may have sent on the first."""
@@ -83,8 +87,9 @@
         method = "GET" if self.request_class == "read" else "PUT"
         body = "" if self.request_class == "read" else WRITE_BODY
         length = f"Content-Length: {len(body)}\r\n" if body else ""
+        key = self.key if self.object_key is None else self.object_key
         return (
-            f"{method} /api?key={self.key:016x} HTTP/1.1\r\nHost: x\r\n"
+            f"{method} /api?key={key:016x} HTTP/1.1\r\nHost: x\r\n"
             f"X-Call-Id: {self.request_id(attempt)}\r\n"
             f"X-Call-Class: {self.request_class}\r\nX-Storage-Class: {self.plan}\r\n"
             f"X-Budget-Ms: {DEADLINE_MS}\r\n{long}{length}"
@@ -104,6 +109,7 @@
         self.rate = INITIAL_RATE
         self.long_ratio = LONG_RESPONSE_RATIO
         self.append_ratio = 0.0  # of requests that may run once only
+        self.store_ratio = 0.0  # of requests whose key has an order
         self.gets_new_connections = True  # from the front; else requests use kept connections only
         self.busy: dict[Connection, float] = {}  # since when each carries a request
         self._tasks: set[asyncio.Task[None]] = set()
@@ -125,6 +131,16 @@
     def _plan_request(self) -> PlannedRequest:
         self.request_count += 1
         random = self._random
+        if self.store_ratio and random.random() < self.store_ratio:
+            return PlannedRequest(
+                key=self.request_count,
+                plan="free",
+                units=1,
+                shard=0,
+                long=False,
+                request_class="store",
+                object_key=random.randrange(STORE_KEY_COUNT),
+            )
         return PlannedRequest(
             key=self.request_count,
             plan=random.choice(PLANS),
--- a/harriertide/lab/rigs/nodes.py
+++ b/harriertide/lab/rigs/nodes.py
@@ -17,6 +17,7 @@
 from harriertide.lab.rigs.fault_script import HOST
 
 SERVICE_S = 0.008  # of each request
+STORE_SERVICE_S = 0.06  # more, of each request of the class "store"
 LONG_BYTES = 4 << 20  # of a long response
 BODY_PART_BYTES = 65_536
 KEEPALIVE_S = 1.0  # between empty lines on a watch
@@ -80,7 +81,9 @@
             is_used = False
             while not (is_used and self.fault == "close"):
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                fields = dict(row.lower().split(": ", 1) for row in head.split("\r\n")[1:-2])
+                start, *rows = head.split("\r\n")[:-2]
+                fields = dict(row.lower().split(": ", 1) for row in rows)
+                fields[":target"] = start.split()[1]
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 if is_used and self.fault == "forget":
                     break
@@ -100,11 +103,15 @@
         units = float(extent.partition("units=")[2].partition(",")[0])
         row = {"request": request, "node": self.name}
         plan = fields["x-storage-class"]
-        self.logs.write("nodes", "came", **row, units=units, plan=plan, health=self.health)
+        is_store = fields["x-call-class"] == "store"
+        key = fields[":target"].partition("key=")[2] if is_store else ""
+        self.logs.write("nodes", "came", **row, units=units, plan=plan, health=self.health, key=key)
         if self.fault == "hang":
             with suppress(ConnectionError):
                 await reader.read()  # until the broker gives the attempt up
         await sleep_until(asyncio.get_running_loop().time() + SERVICE_S)
+        if is_store:
+            await self._run_unless_left(reader)
         if self.fault in ("hang", "reset") or reader.at_eof():
             self.logs.write("nodes", "left", **row)
             return False
@@ -116,6 +123,12 @@
             await writer.drain()
         return True
 
+    async def _run_unless_left(self, reader: asyncio.StreamReader) -> None:
+        """Run a store, until the broker ends its connection: it has given the attempt up then."""
+        with suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(STORE_SERVICE_S):
+                await reader.read(1)
+
 
 class StandInDiscovery:
     """Pushes the endpoint list; while it is dark it closes all connections."""
--- a/harriertide/lab/rigs/single_broker.py
+++ b/harriertide/lab/rigs/single_broker.py
@@ -32,6 +32,7 @@
 FALL_S = 1.0  # the window in which a warming node that gets too much collapses
 COLD_INITIAL_RATIO = 0.2  # of its capacity that a node has at its start
 COLLAPSE_LOAD_RATIO = 2.5
+KEY_QUIET_S = 0.2
 LATENCY_OBJECTIVE_MS = 300
 READY_TIMEOUT_S = 10.0  # for a process to get ready
 END_TIMEOUT_S = 8.0  # for a process that was stopped to end
@@ -55,6 +56,10 @@
                 **request_class, "name": "append", "effect": "at_most_once",
                 "sloUs": 1000 * LATENCY_OBJECTIVE_MS, "deadlineUs": 1000 * DEADLINE_MS,
             },
+            {
+                **request_class, "name": "store", "inOrder": True,
+                "sloUs": 1000 * LATENCY_OBJECTIVE_MS, "deadlineUs": 1000 * DEADLINE_MS,
+            },
         ],
         "plans": [
             {**plan, "name": "free", "ceilingRate": 0.0, "mostAtOnce": 0.0},
@@ -64,6 +69,7 @@
         "safety": {
             "coldFrom": COLD_INITIAL_RATIO, "coldUs": int(COLD_S * 1e6),
             "fallUs": int(FALL_S * 1e6), "fallMultiple": COLLAPSE_LOAD_RATIO,
+            "keyQuietUs": int(KEY_QUIET_S * 1e6),
         },
     }  # fmt: skip
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -132,6 +132,10 @@
         },
     ),
     "a concurrent attempt": ("excess_attempts", {"nodes": [came(1, "a"), came(1.1, "a")]}),
+    "two requests of one key": (
+        "crossed_keys",
+        {"nodes": [{**came(1, "a"), "key": "k"}, {**came(1.05, "b"), "key": "k"}, answered(1.06, "a")]},
+    ),
     "a fifth attempt": (
         "excess_attempts",
         {"nodes": [each for n in range(5) for each in (came(n, "a"), answered(n + 0.1, "a"))]},
@@ -174,6 +178,8 @@
         nodes=[
             came(1, "a"), answered(1.1, "a"), came(1.2, "a"), answered(1.3, "a"),
             came(1.2, "b-repeat"), answered(1.3, "b-repeat"), *HEAVY[:8],
+            *({**each, "key": "k"} for each in (came(2, "c"), answered(2.1, "c"), came(2.2, "d"))),
+            {**came(2.1, "e"), "key": "another"},
         ],
         platform=[
             row(1.0, "listed", node="s0", health="draining"),
