Reword the docstrings of the process registry and the active process's lease

Change: terms of the field (registry, lease, suspended, running); two private methods of open_keys renamed.

--- a/harriertide/lifecycle/active_process.py
+++ b/harriertide/lifecycle/active_process.py
@@ -1,9 +1,9 @@
-"""Which process of a broker is the active one, on the loop: taking over, releasing, reclaiming.
+"""The lease of a broker's active process: taking over, renewing, releasing and reclaiming it.
 
-One process of a broker is active at a time. It renews a short lease by looking at the broker's registry, and
-loses it to a newer process in one of two ways: it *releases* it, with a record of its state, when the newer
-one claims it; or it is *fenced*, when it stood still for so long that the newer one did not wait. If the
-newer process dies, the one before *reclaims* the lease.
+One process of a broker is active at a time. It renews a short lease by reading the broker's registry, and
+loses it to a newer process in one of two ways: it *releases* the lease, with a record of its state, when the
+newer process claims it; or it is *fenced*, if it was suspended for so long that the newer one did not wait.
+If the newer process dies, the previous one *reclaims* the lease.
 """
 
 from __future__ import annotations
@@ -16,20 +16,20 @@
 from harriertide.engine.log import log
 from harriertide.lifecycle.process_registry import ACTIVE_LEASE_S, ProcessRegistry
 
-RENEW_INTERVAL_S = 0.02  # a claim waits for so long at most where nothing holds up the loop
-TAKEOVER_POLL_INTERVAL_S = 0.005  # between looks of a process that takes over: clients wait meanwhile
-CLAIM_ANSWER_TIMEOUT_S = 2.0  # a process that answers later stands still: the next goes on without its state
-LIVENESS_CHECK_INTERVAL_S = 0.5  # between looks whether others live: the limits are shared until none does
+RENEW_INTERVAL_S = 0.02  # also the longest wait of a claim, unless the event loop is blocked
+TAKEOVER_POLL_INTERVAL_S = 0.005  # between checks of a process that takes over, while clients wait
+CLAIM_ANSWER_TIMEOUT_S = 2.0  # for the active process to answer; after it, the next starts without its state
+LIVENESS_CHECK_INTERVAL_S = 0.5  # between checks for other processes, with which the limits are shared
 
 
 @dataclass(frozen=True, slots=True)
 class ActiveProcessHooks:
-    """What the process does at each turn.
+    """What the process does at each transition.
 
-    :param release: stop acting as the active one; returns the record of its state for the epoch given.
-    :param on_fenced: a newer process took over while this one stood still.
-    :param on_reclaimed: the newer process has died; this one is active again.
-    :param on_liveness: whether this is the only process of the broker that lives.
+    :param release: stops acting as the active process; returns the record of its state for the given epoch
+    :param on_fenced: a newer process has taken over while this one was suspended
+    :param on_reclaimed: the newer process has died, and this one is active again
+    :param on_liveness: whether this is the broker's only running process
     """
 
     release: Callable[[int], bytes]
@@ -64,7 +64,7 @@
     async def take_over(self) -> bytes | None:
         """Become the active process.
 
-        :returns: the record that the process before has left; None where there is none, or it did not answer.
+        :returns: the record of the previous process; None if there is none, or it did not answer
         """
         registry = self._registry
         while not registry.try_lock_takeover():
@@ -76,8 +76,8 @@
             data = await self._claim_from(before) if registry.is_alive(before) else None
             registry.become_active()
             if data is None and registry.is_alive(before):
-                # Guards against two that act at once: the process before may be paused, and would go
-                # on without a look for as long as it believes in its lease.
+                # Prevents two active processes: the previous one may be suspended, and would act
+                # without a check until its lease expires.
                 log(
                     "the process in charge did not answer; its lease is waited for",
                     epoch=before,
@@ -91,7 +91,7 @@
         return data
 
     async def _claim_from(self, before: int) -> bytes | None:
-        """Claim the lease and wait for the record of the process that has it."""
+        """Claim the lease, and wait for the record of the active process."""
         registry = self._registry
         registry.write_claim()
         deadline = self._loop.time() + CLAIM_ANSWER_TIMEOUT_S
@@ -109,20 +109,20 @@
     # --- renewing, releasing, reclaiming -------------------------------------------------------
 
     def check_fence(self) -> None:
-        """Look before this process acts, if its lease has run out.
+        """Renew the lease before this process acts, if the lease has expired.
 
-        Guards against a process that stood still while a newer one took over: in its first turn of the loop
-        it would otherwise forward requests beside the newer one.
+        Prevents a process that was suspended while a newer one took over from forwarding requests in its
+        first iteration of the event loop.
         """
         if self.is_active and self._loop.time() - self._renewed_at > ACTIVE_LEASE_S:
             self._renew()
 
     def stop_reclaiming(self) -> None:
-        """Never become active again, as the process was asked to stop. It still answers a claim."""
+        """Never become active again, as the process was asked to stop; claims are still answered."""
         self._may_reclaim = False
 
     def close(self) -> None:
-        """Look no more, and leave the registry."""
+        """Stop renewing, and leave the registry."""
         if self._timer is not None:
             self._timer.cancel()
         self._registry.close()
@@ -145,7 +145,7 @@
             self._hooks.on_liveness(not self._registry.has_other_processes())
 
     def _renew(self) -> None:
-        """Look who is active, and release, lose or reclaim the lease accordingly."""
+        """Read which process is active, and release, lose or reclaim the lease accordingly."""
         self._renewed_at = self._loop.time()
         active_epoch = self._registry.active_epoch()
         if self.is_active and active_epoch != self.epoch:
@@ -164,10 +164,10 @@
             self._registry.write_handover_record(claimed_epoch, self._hooks.release(claimed_epoch))
 
     def _is_successor_gone(self, active_epoch: int) -> bool:
-        """Whether the process that took over from this one has died, and none claims to be the next.
+        """Whether the process that took over from this one has died, and no other one claims the lease.
 
-        Where `current` still has this process's epoch, the successor is the one that claimed and died before
-        it became active.
+        If `current` still has this process's epoch, the successor is the one that claimed the lease and died
+        before it became active.
         """
         successor = self._successor_epoch(active_epoch)
         return not self._registry.is_alive(successor) and not self._registry.claimed_epoch()
--- a/harriertide/lifecycle/open_keys.py
+++ b/harriertide/lifecycle/open_keys.py
@@ -19,7 +19,7 @@
 from harriertide.engine.log import log
 from harriertide.lifecycle.process_registry import ProcessRegistry
 
-CHECK_INTERVAL_S = 0.01  # between two looks of either side: a held request waits for both
+CHECK_INTERVAL_S = 0.01  # of both sides; a held request waits for both
 MAGIC = b"harriertide keys 1\n"  # with the version of the form
 _HASH_BYTES = 8
 
@@ -58,7 +58,7 @@
 
 
 class OpenKeysPublisher:
-    """In a superseded process: tells newer processes which keys it has not finished yet.
+    """Publishes the unfinished keys of a superseded process for newer processes.
 
     :param read_open_keys: the keys as they are now
     """
@@ -81,7 +81,7 @@
             self._timer = None
 
     def withdraw(self) -> None:
-        """Take back what was published, as this process admits requests again."""
+        """Withdraw the published keys, as this process admits requests again."""
         self.stop()
         self._published = None
         self._registry.remove_open_keys()
@@ -97,14 +97,14 @@
             if record != self._published:
                 self._registry.write_open_keys(encode(record))
                 self._published = record
-        except OSError as error:  # the newer process holds the keys that it knows of a little longer
-            log("open keys could not be written down", reason=str(error))
+        except OSError as error:  # the newer process holds the keys of the last record meanwhile
+            log("open keys could not be written", reason=str(error))
         if record != self._published or not record.is_finished:
             self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_S, self._publish)
 
 
 class OpenKeysWatcher:
-    """In a process that has taken over: holds keys that other processes of the broker have not finished.
+    """Watches the unfinished keys of other processes, in a process that has taken over.
 
     :param longest_request_s: returns the longest deadline of an ordered class; 0: no class is ordered
     :param quiet_s: returns how long a key rests after an attempt that may still run
@@ -125,11 +125,11 @@
         self._loop = asyncio.get_running_loop()
         self._open_at: dict[int, OpenKeysRecord] = {}  # by the epoch of the process
         self._ended: set[int] = set()  # epochs of these that have ended
-        self.held = OpenKeysRecord(frozenset(), 0.0)  # the union, as it was told last
+        self.held = OpenKeysRecord(frozenset(), 0.0)  # the union, as last reported
         self._timer: asyncio.TimerHandle | None = None
 
     def hold_for(self, epochs: list[int]) -> None:
-        """Hold what these processes have not finished, from now on; they may have ended."""
+        """Hold the unfinished keys of these processes from now on; the processes may have ended."""
         if not self._longest_request_s():
             return
         until_s = self._loop.time() + self._longest_request_s() + self._quiet_s()
@@ -137,27 +137,27 @@
             self._open_at[epoch] = OpenKeysRecord(None, until_s)
         self._ended.difference_update(epochs)
         self.stop()
-        self._look()
+        self._check()
 
     def stop(self) -> None:
-        """Look no more."""
+        """Stop watching."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         for epoch in list(self._open_at):
             if epoch not in self._ended:
                 self._update(epoch)
             record = self._open_at[epoch]
             if record.is_finished or record.until_s <= self._loop.time():
                 del self._open_at[epoch]
-        self._tell()
+        self._report()
         if self._open_at:
-            self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._look)
+            self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
     def _update(self, epoch: int) -> None:
-        """Update what one process has left open. Once it is seen to have ended, its keys rest."""
+        """Read the unfinished keys of one process; once it has ended, hold them for the quiet period."""
         is_alive = self._registry.is_alive(epoch)
         data = self._registry.read_open_keys(epoch)  # after that, to read what it wrote as it ended
         record = decode(data) if data is not None else None
@@ -167,8 +167,8 @@
             record.until_s = min(record.until_s, self._loop.time() + self._quiet_s())
         self._open_at[epoch] = record
 
-    def _tell(self) -> None:
-        """Tell what is held, if that has changed."""
+    def _report(self) -> None:
+        """Report the union of all held keys, if it has changed."""
         records = self._open_at.values()
         known = [record.keys for record in records if record.keys is not None]
         keys = frozenset[str]().union(*known) if len(known) == len(records) else None
--- a/harriertide/lifecycle/process_registry.py
+++ b/harriertide/lifecycle/process_registry.py
@@ -1,19 +1,19 @@
-"""The processes of one broker on this machine: claims, locks and hand-over records under $TMPDIR.
+"""The registry of a broker's processes on this machine: claims, locks and hand-over records under $TMPDIR.
 
-Files of one broker, each written complete by a rename:
+The files of one broker, each replaced atomically by a rename:
 
-- `process-EPOCH`: locked (flock) by a process for as long as it lives. Its epoch is above all before it.
-- `takeover`: locked by the one process that takes over just now.
-- `claim`: the epoch of the process that wants to take over.
-- `state-EPOCH`: the record that the active process leaves for the process of that epoch.
-- `keys-EPOCH`: the keys that the process of that epoch, which is active no more, has not finished.
+- `process-EPOCH`: locked (flock) by a process for as long as it runs. Each new process gets a higher epoch.
+- `takeover`: locked by the process that is taking over.
+- `claim`: the epoch of the process that claims to take over.
+- `state-EPOCH`: the hand-over record that the active process writes for the process of that epoch.
+- `keys-EPOCH`: the keys that the superseded process of that epoch has not finished.
 - `current`: the epoch of the active process. Invariant: it is written by the holder of `takeover` alone.
 
-The active process acts for at most ACTIVE_LEASE_S after it last saw its own epoch in `current`; the next one
-waits that long where the last does not answer. So no two act as the active one at once, even if one was
-stopped (SIGSTOP, a swapped-out machine) in the middle.
+The active process acts for at most ACTIVE_LEASE_S after it last read its own epoch in `current`. A new
+process waits that long if the active one does not answer. Two processes therefore never act as the active one
+at the same time, even if one was suspended meanwhile (SIGSTOP, a swapped-out machine).
 
-Processes of different releases meet here: names and contents of the files do not change.
+Processes of different releases share these files, so their names and contents do not change.
 """
 
 from __future__ import annotations
@@ -23,21 +23,21 @@
 from contextlib import suppress
 from pathlib import Path
 
-# For so long a process acts without a look who is active. Short: where the process before does not answer,
-# the next one waits for it, and clients wait with it.
+# How long a process may act without checking which process is active. If that process does not answer, the
+# next one waits for this time, and clients wait with it.
 ACTIVE_LEASE_S = 0.25
-_MAX_EPOCH_DIGITS = 11  # what is longer is no epoch but a file that was damaged
+_MAX_EPOCH_DIGITS = 11  # longer content means that the file is damaged
 
 
 def _write_atomically(path: Path, data: bytes) -> None:
-    """Write all of it or nothing: a reader sees the file before or the file after."""
+    """Replace a file atomically: a reader gets the old content or the new content."""
     part = path.with_name(f"{path.name}.{os.getpid()}.part")
     part.write_bytes(data)
     part.rename(path)
 
 
 def _read_epoch(path: Path) -> int:
-    """The epoch that a file holds; 0 where there is none."""
+    """Return the epoch in a file; 0 if the file is missing or damaged."""
     try:
         text = path.read_bytes()
     except OSError:
@@ -46,7 +46,7 @@
 
 
 def _try_lock(path: Path) -> int | None:
-    """A descriptor that holds the file's lock; None where another process does."""
+    """Lock a file and return its descriptor; None if another process holds the lock."""
     descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -62,10 +62,10 @@
 
 
 class ProcessRegistry:
-    """One process's place among those of its broker. All calls are short and wait for nobody.
+    """The entry of one process in its broker's registry. No call blocks.
 
-    :param folder: where the processes of the broker meet; made if need be.
-    :raises OSError: where the folder can't be used.
+    :param folder: shared by the processes of the broker; created if it is missing
+    :raises OSError: the folder cannot be used
     """
 
     def __init__(self, folder: Path) -> None:
@@ -91,12 +91,12 @@
         return [int(name) for name in names if name.isdigit()]
 
     def _register(self) -> tuple[int, int]:
-        """Take an epoch above all others.
+        """Register this process under an epoch above all others.
 
-        The file is locked before it has its name: guards against a process that is taken for dead between
-        the two.
+        The file is locked before it gets its final name, so that no other process finds it unlocked and
+        considers this process dead.
 
-        :returns: the epoch, and the descriptor that holds the lock.
+        :returns: the epoch, and the descriptor that holds the lock
         """
         part = self._folder / f"entering.{os.getpid()}.part"
         lock = _try_lock(part)
@@ -104,13 +104,13 @@
         return self._rename_to_new_epoch(part), lock
 
     def _rename_to_new_epoch(self, path: Path) -> int:
-        """Give a process's file the name of an epoch above all others, and return that."""
+        """Rename a process's file to an epoch above all others, and return that epoch."""
         epoch = max([0, *self._registered_epochs(), self.active_epoch(), _read_epoch(self._claim_path)])
         while True:
             epoch += 1
             try:
                 os.link(path, self._process_path(epoch))
-            except FileExistsError:  # another process entered at the same moment
+            except FileExistsError:  # another process registered at the same time
                 continue
             path.unlink()
             return epoch
@@ -118,16 +118,16 @@
     # --- questions -----------------------------------------------------------------------------
 
     def active_epoch(self) -> int:
-        """The epoch of the active process; 0: there was none yet."""
+        """The epoch of the active process; 0 if there has been none."""
         return _read_epoch(self._current_path)
 
     def claimed_epoch(self) -> int:
-        """The epoch of a newer process that lives and claims to take over; 0: none."""
+        """The epoch of a newer, running process that claims to take over; 0 if there is none."""
         claimed = _read_epoch(self._claim_path)
         return claimed if claimed > self.epoch and self.is_alive(claimed) else 0
 
     def is_alive(self, epoch: int) -> bool:
-        """Whether that process lives: it holds its lock, which the system ends with the process."""
+        """Whether that process is running: it holds its lock, which the system releases when it ends."""
         if epoch == self.epoch:
             return True
         try:
@@ -143,26 +143,26 @@
         return False
 
     def has_other_processes(self) -> bool:
-        """Whether another process of this broker lives."""
+        """Whether another process of this broker is running."""
         return any(self.is_alive(epoch) for epoch in self._registered_epochs() if epoch != self.epoch)
 
     # --- keys that are not finished --------------------------------------------------------------
 
     def superseded_epochs(self) -> list[int]:
-        """The epochs of other processes that live and tell what they have not finished."""
-        told = [epoch for epoch in self._registered_epochs() if self._open_keys_path(epoch).exists()]
-        return [epoch for epoch in told if epoch != self.epoch and self.is_alive(epoch)]
+        """The epochs of other running processes that publish their unfinished keys."""
+        publishing = [epoch for epoch in self._registered_epochs() if self._open_keys_path(epoch).exists()]
+        return [epoch for epoch in publishing if epoch != self.epoch and self.is_alive(epoch)]
 
     def write_open_keys(self, data: bytes) -> None:
-        """Tell newer processes what this one has not finished."""
+        """Publish the unfinished keys of this process for newer ones."""
         _write_atomically(self._open_keys_path(self.epoch), data)
 
     def remove_open_keys(self) -> None:
-        """Take back what newer processes were told."""
+        """Withdraw the published keys of this process."""
         _remove(self._open_keys_path(self.epoch))
 
     def read_open_keys(self, epoch: int) -> bytes | None:
-        """What that process has not finished; None where it has not told."""
+        """Return the published keys of that process; None if it has published none."""
         try:
             return self._open_keys_path(epoch).read_bytes()
         except OSError:
@@ -171,44 +171,44 @@
     # --- a takeover ----------------------------------------------------------------------------
 
     def try_lock_takeover(self) -> bool:
-        """Whether this process is now the only one that takes over; if not, another is at it."""
+        """Lock the takeover; False if another process is taking over."""
         self._takeover_lock = _try_lock(self._takeover_path)
         return self._takeover_lock is not None
 
     def raise_epoch(self) -> None:
-        """Take a new epoch above that of the active process, which entered later and took over earlier.
+        """Register again above the active process if that one registered later and took over earlier.
 
-        Guards against a claim that the active process disregards, as it answers later epochs only.
+        The active process answers only claims of higher epochs.
         """
         if self.active_epoch() > self.epoch:
             self.epoch = self._rename_to_new_epoch(self._process_path(self.epoch))
 
     def write_claim(self) -> None:
-        """Claim to be the active process: the present one answers with a record."""
+        """Claim to become the active process; the current one answers with a hand-over record."""
         _write_atomically(self._claim_path, b"%d" % self.epoch)
 
     def write_handover_record(self, claimed_epoch: int, data: bytes) -> None:
-        """As the active process: answer a claim."""
+        """Answer a claim, as the active process."""
         _write_atomically(self._record_path(claimed_epoch), data)
 
     def read_handover_record(self) -> bytes | None:
-        """The answer to this process's claim; None where there is none yet."""
+        """Return the answer to this process's claim; None if there is none yet."""
         try:
             return self._record_path(self.epoch).read_bytes()
         except OSError:
             return None
 
     def become_active(self) -> None:
-        """From here on this process is the active one, and no other is."""
+        """Make this process the active one."""
         assert self._takeover_lock is not None, "only the holder of the takeover lock may write `current`"
         _write_atomically(self._current_path, b"%d" % self.epoch)
 
     def end_takeover(self) -> None:
-        """The takeover is over, well or not. Files of processes that are gone are removed."""
+        """Unlock the takeover, whether or not it succeeded, and remove the files of ended processes."""
         _remove(self._claim_path)
         _remove(self._record_path(self.epoch))
         self._remove_old_open_keys()
-        newest = max(self._registered_epochs())  # its file stays: no epoch is taken twice
+        newest = max(self._registered_epochs())  # its file stays, so that no epoch is used twice
         for epoch in self._registered_epochs():
             if epoch not in (self.epoch, newest) and not self.is_alive(epoch):
                 _remove(self._process_path(epoch))
@@ -218,12 +218,12 @@
             self._takeover_lock = None
 
     def _remove_old_open_keys(self) -> None:
-        """Remove those of processes that had ended by an earlier takeover; later ones may still be read."""
+        """Remove the open keys of processes that are not registered any more; others may still be read."""
         registered = self._registered_epochs()
         for path in self._folder.glob("keys-*"):
             if path.name.partition("-")[2] not in map(str, registered):
                 _remove(path)
 
     def close(self) -> None:
-        """Release the lock of this process, which is about to end."""
+        """Release the lock of this process before it ends."""
         os.close(self._lifetime_lock)
