--- a/review/8/rig.py
+++ b/review/8/rig.py
@@ -48,6 +48,7 @@
         self.began_s = time.monotonic()
         self._record = (HERE / "record.txt").open("w", encoding="utf-8")
         self._processes: list[asyncio.subprocess.Process] = []
+        self._is_closed = False
         self.note(f"TROUBLE={int(TROUBLE)}")
 
     def note(self, text: str) -> None:
@@ -59,6 +60,8 @@
         self, name: str, arguments: str = "", environment: dict[str, str] | None = None
     ) -> asyncio.subprocess.Process:
         """Start a process of the project by the deploy file's `run`."""
+        if self._is_closed:
+            raise NotRunError("the run is over")
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         own = {"PATH": os.environ["PATH"], "TMPDIR": str(self.folder / "tmp"), **(environment or {})}
         with (self.folder / f"{name}.log").open("ab") as log:
@@ -86,6 +89,7 @@
 
     async def close(self) -> None:
         """End every process that this run has started, and remove its folder."""
+        self._is_closed = True
         for process in self._processes:
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -183,10 +187,14 @@
     async def bounded() -> int:
         rig = Rig()
         verdict = COULD_NOT_RUN
+        this_task = asyncio.current_task()
+        assert this_task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that the processes are ended all the same
+            asyncio.get_running_loop().add_signal_handler(number, this_task.cancel)
         try:
             async with asyncio.timeout(SCRIPT_LIMIT_S):
                 verdict = BROKEN if await case(rig) else HELD
-        except (NotRunError, TimeoutError, OSError) as error:
+        except (NotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             rig.note(f"could not run: {type(error).__name__} {error}")
         finally:
             rig.note(f"exit {verdict}")
