Refuse a request whose body has a transfer coding that is not decoded

Cause: the parser takes off chunked alone and reports "gzip, chunked" as chunked. read_fields looked at the field only for being there beside a Content-Length, forwarded_headers left it out, and the front took what the parser gave for the body. Ruled out by feeding the parser alone: it neither decodes nor hides the field; the bytes are coded before a job frames them.

Change: http/transfer_coding reads the field as one list and accepts chunked, last and once, in HTTP/1.1. Another coding is 501, wrong framing 400, checked at the head: before 100 Continue, before memory is reserved, before the core hears of the request. The connection is closed behind the response.

Why it works: nothing but a body without further codings is passed on, whatever a parser accepts.

--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -23,6 +23,7 @@
 from harriertide.http.client_server import MAX_START_LINE_BYTES, TrackedServer
 from harriertide.http.connection_table import ConnectionTable
 from harriertide.http.node_connection import FORWARD_READ_AHEAD_BYTES, limit_read_size
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 from harriertide.platform.fields import HeaderFields, MalformedRequestError, read_fields
 from harriertide.platform.request_body import (
     ALWAYS_BUFFERED_BYTES,
@@ -169,10 +170,14 @@
         self._message = message
         try:
             self.fields = read_fields(message.raw_headers)
+            check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version)
             length = declared_length(self.fields)
         except MalformedRequestError as error:
             self.refuse(400, str(error))
             return
+        except TransferCodingError as error:
+            self.refuse(error.status, str(error))
+            return
         except BodyTooLongError as error:
             self.refuse(413, str(error))  # the connection is closed without reading the body
             return
--- a/harriertide/platform/response_writer.py
+++ b/harriertide/platform/response_writer.py
@@ -13,8 +13,8 @@
 
 LAST_CHUNK = b"0\r\n\r\n"
 _REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large", 502: "Bad Gateway",
-    503: "Service Unavailable",
+    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large",
+    501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 }  # fmt: skip
 
 
