Take a node's response in a transfer coding for malformed

A node that answered with "Transfer-Encoding: gzip, chunked", which no request asks for, had its coded bytes passed on with 200 and no word of their coding. So for chunked twice, for codings without chunked up to the end, for chunks in HTTP/1.0.

Cause: the parser takes off chunked alone, and reads a body whose last coding is another up to the end of the connection. NodeConnection._start_body asked how long a body is and where it ends, not what its bytes are.

Change: a response without a stated length passes the check of requests at its head (response_framing.check_body_coding); one that fails it is malformed, its attempt ends as incomplete and another may follow.

Why it works: every response of a node, for both fronts, probes and the library, begins in this function, and a stated length excludes the field already.

--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -167,6 +167,8 @@
         connection = exchange.connection
         if connection is None:
             return
+        if connection.is_malformed:
+            self.counts["malformed_responses"] += 1
         if not is_fully_written:
             connection.force_close()  # early response: the node would take the rest of the body for a request
         if exchange.response is None or not exchange.response.detached:
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -26,6 +26,7 @@
     HeadBuffer,
     MalformedResponseError,
     ResponsePhase,
+    check_body_coding,
     closes_connection,
     declared_length,
 )
@@ -296,6 +297,8 @@
         """Determine from a head where the response body ends."""
         try:
             length = declared_length(message)
+            if length is None and message.code not in BODILESS_STATUSES:
+                check_body_coding(message)
         except MalformedResponseError as error:
             self._fail(error)
             return
--- a/harriertide/http/response_framing.py
+++ b/harriertide/http/response_framing.py
@@ -8,6 +8,8 @@
 from aiohttp import HttpVersion11
 from aiohttp.http_parser import RawResponseMessage
 
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+
 MAX_HEAD_BYTES = 16 * 1024  # of all heads of one response, including interim (1xx) ones
 END_OF_HEAD = b"\r\n\r\n"
 END_OF_CHUNKS = b"\r\n\r\n"  # the empty line after the last chunk or its trailers
@@ -81,6 +83,19 @@
     return int(lengths[0]) if lengths else None
 
 
+def check_body_coding(message: RawResponseMessage) -> None:
+    """Check that a body that does not state its length is not coded, except by `chunked`.
+
+    No request asks for another transfer coding, so a node must not send one (RFC 9112, 7.4).
+
+    :raises MalformedResponseError: the body can't be decoded, or its end is not certain
+    """
+    try:
+        check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version)
+    except TransferCodingError as error:
+        raise MalformedResponseError(str(error)) from None
+
+
 def closes_connection(message: RawResponseMessage) -> bool:
     """Whether the node closes the connection after its response."""
     return message.version < HttpVersion11 or "close" in message.headers.get("Connection", "").lower()
--- a/tests/test_transfer_codings.py
+++ b/tests/test_transfer_codings.py
@@ -14,6 +14,7 @@
 from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 from tests.socket_broker import (
     LONG_BODY,
+    RESPONSE_HEAD,
     SocketBroker,
     encode_chunks,
     receive_all,
@@ -161,3 +162,49 @@
         assert broker.node.connection_count == 0 and broker.daemon.bodies.reserved_bytes == 0
 
     run_with_broker(scenario)
+
+
+DECODABLE_RESPONSE_FIELDS = ("chunked", "Chunked", ", chunked")
+CODED_RESPONSE_HEADS = {
+    "gzip": RESPONSE_HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n",
+    "gzip in a field of its own": (
+        RESPONSE_HEAD + b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ),
+    "identity": RESPONSE_HEAD + b"Transfer-Encoding: identity, chunked\r\n\r\n",
+    "chunked twice": RESPONSE_HEAD + b"Transfer-Encoding: chunked, chunked\r\n\r\n",
+    "gzip up to the end": RESPONSE_HEAD + b"Connection: close\r\nTransfer-Encoding: gzip\r\n\r\n",
+    "chunked, not last": RESPONSE_HEAD + b"Connection: close\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+    "an empty field": RESPONSE_HEAD + b"Connection: close\r\nTransfer-Encoding: \r\n\r\n",
+    "chunked in HTTP/1.0": b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("head", CODED_RESPONSE_HEADS.values(), ids=CODED_RESPONSE_HEADS.keys())
+def test_a_response_in_a_transfer_coding_is_never_the_body_of_a_200(head: bytes) -> None:
+    """Guards against a node's coded bytes that a client gets as the plain body of its response."""
+
+    async def scenario(broker: SocketBroker) -> None:
+        client = broker.connect()
+        client.sendall(request_head(broker))
+        connection = await broker.next_request()
+        connection.writer.write(head + encode_chunks(gzip.compress(BODY), 1000))
+        connection.writer.close()
+        send_response(await broker.next_request(), body=b"plain")
+        received = await receive_all(client, b"plain")
+        assert received.startswith(b"HTTP/1.1 200 ") and b"Content-Length: 5\r\n" in received
+        assert broker.daemon.client.counts["malformed_responses"] == 1
+
+    run_with_broker(scenario)
+
+
+@pytest.mark.parametrize("value", DECODABLE_RESPONSE_FIELDS)
+def test_a_chunked_response_is_decoded_whatever_its_spelling(value: str) -> None:
+    async def scenario(broker: SocketBroker) -> None:
+        client = broker.connect()
+        client.sendall(request_head(broker))
+        head = RESPONSE_HEAD + f"Transfer-Encoding: {value}\r\n\r\n".encode()
+        (await broker.next_request()).writer.write(head + encode_chunks(b"plain", 2))
+        assert (await receive_all(client, b"plain")).startswith(b"HTTP/1.1 200 ")
+        assert broker.daemon.client.counts["malformed_responses"] == 0
+
+    run_with_broker(scenario)
