Refuse coded bodies at the object front and the operators' addresses too

The object front, the admin address and the operators' address carried out calls whose transfer coding they do not support: DELETE was 204, POST /api/rejoin 200. Uploads have to state a length (411), so no object was stored as other bytes. After a field without a value, the body stood where the next request is looked for.

Cause: as at the platform's front: each used what the parser had taken chunked off, or no body, and none read the field.

Change: the same check where each takes a request (http/client_server, lifecycle/operator_api). The object front answers in its own form, with S3's NotImplemented or InvalidRequest, the admin address in JSON.

Why it works: it is asked before the handler, for each request, whatever the handler would do with the body.

Left: where the parser itself refuses a head there, aiohttp closes at once, and a client that sends on may lose the 400 to a reset.

--- a/harriertide/http/client_server.py
+++ b/harriertide/http/client_server.py
@@ -11,6 +11,7 @@
 
 from harriertide.http.client_connection import ClientConnection
 from harriertide.http.connection_table import ConnectionTable
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 
 MAX_BODY_BYTES = 64 * 1024  # of a request, unless the caller sets another limit
 MAX_START_LINE_BYTES = 16_384  # of a request
@@ -49,9 +50,14 @@
 def make_server(
     table: ConnectionTable,
     handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    refuse_coding: Callable[[web.BaseRequest, TransferCodingError], web.StreamResponse],
     max_body_bytes: int = MAX_BODY_BYTES,
 ) -> TrackedServer:
-    """Create a server for a handler, which is cancelled if its client disconnects."""
+    """Create a server for a handler, which is cancelled if its client disconnects.
+
+    :param refuse_coding: returns the response to a request whose body can't be decoded, which ends the
+        connection
+    """
     loop = asyncio.get_running_loop()
 
     def build_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
@@ -63,7 +69,12 @@
         table.set_state(connection, "busy")
         CLIENT_TRANSPORT.set(connection.transport)
         try:
+            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
             return await handle(request)
+        except TransferCodingError as error:
+            response = refuse_coding(request, error)
+            response.force_close()
+            return response
         finally:
             table.set_state(connection, "idle")
 
--- a/harriertide/lifecycle/operator_api.py
+++ b/harriertide/lifecycle/operator_api.py
@@ -19,6 +19,7 @@
 from aiohttp.streams import StreamReader
 
 from harriertide.http.limits import OPERATOR_DESCRIPTOR_COUNT
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 from harriertide.lifecycle.machine import CommandResult, Lifecycle
 
 # Of the descriptors reserved for operators the listener has one, and a caller that is being closed another.
@@ -36,6 +37,7 @@
     HTTPStatus.CONFLICT: "Conflict",
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE: "Content Too Large",
     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: "Request Header Fields Too Large",
+    HTTPStatus.NOT_IMPLEMENTED: "Not Implemented",
     HTTPStatus.SERVICE_UNAVAILABLE: "Service Unavailable",
 }
 
@@ -176,16 +178,27 @@
         self._received_bytes += len(data)
         try:
             messages, upgraded, _ = self._call_parser.feed_data(data)
+            if messages:
+                self._begin_call(*messages[0])
+        except TransferCodingError as error:
+            self._refuse(error.status, str(error))
+            return
         except (HttpProcessingError, ValueError) as error:
             self._refuse_malformed(error)
             return
         if upgraded:
             self._refuse(HTTPStatus.BAD_REQUEST, "no other protocol is spoken here")
             return
-        if messages:
-            self._message, self._body = messages[0]
         self._respond_if_complete()
 
+    def _begin_call(self, message: RawRequestMessage, body: StreamReader) -> None:
+        """Take a call whose head has come.
+
+        :raises TransferCodingError: its body can't be decoded
+        """
+        self._message, self._body = message, body
+        check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version)
+
     def _refuse_malformed(self, error: Exception) -> None:
         is_head_too_long = self._message is None and self._received_bytes > MAX_HEAD_BYTES
         if isinstance(error, LineTooLong) or is_head_too_long:
--- a/harriertide/objects/errors.py
+++ b/harriertide/objects/errors.py
@@ -15,6 +15,7 @@
     "InvalidPart": 400,
     "InvalidPartOrder": 400,
     "InvalidRange": 416,
+    "InvalidRequest": 400,
     "InvalidURI": 400,
     "KeyTooLongError": 400,
     "MalformedXML": 400,
--- a/harriertide/objects/front.py
+++ b/harriertide/objects/front.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from harriertide.engine.log import log
+from harriertide.http.transfer_coding import TransferCodingError, UnsupportedCodingError
 from harriertide.objects import multipart
 from harriertide.objects.call import S3Call, body_length, parse_call
 from harriertide.objects.conditions import http_date, read_conditions, write_precondition
@@ -53,6 +54,13 @@
                 response.force_close()
         return response
 
+    def refuse_coding(self, request: web.BaseRequest, error: TransferCodingError) -> web.StreamResponse:
+        """The response to a request whose body can't be decoded."""
+        code = "NotImplemented" if isinstance(error, UnsupportedCodingError) else "InvalidRequest"
+        response = _error_response(request, S3Error(code, str(error)), token_hex(8))
+        self.counts[f"answers_{response.status}"] += 1
+        return response
+
     async def _discard_body(self, request: web.BaseRequest) -> bool:
         """Whether nothing of the body is left unread; a small one is read to its end."""
         if not request.body_exists or request.content.at_eof():
@@ -78,8 +86,7 @@
         except sqlite3.Error as broken:  # a full or failing disk under the catalogue
             log("catalogue failed", reason=str(broken))
             fault = S3Error("InternalError", "The catalogue could not be read or written")
-        resource = request.raw_path.partition("?")[0]
-        return error_response(fault, resource, call_id, request.method == "HEAD")
+        return _error_response(request, fault, call_id)
 
     async def _route(self, call: S3Call) -> web.StreamResponse:
         method = call.request.method
@@ -213,6 +220,11 @@
             await asyncio.sleep(0)
 
 
+def _error_response(request: web.BaseRequest, error: S3Error, call_id: str) -> web.Response:
+    resource = request.raw_path.partition("?")[0]
+    return error_response(error, resource, call_id, request.method == "HEAD")
+
+
 def _method_not_allowed() -> S3Error:
     return S3Error("MethodNotAllowed", "The method is not allowed against this resource")
 
--- a/harriertide/objects/service.py
+++ b/harriertide/objects/service.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections import Counter
 
+from aiohttp import web
+
 from harriertide.config import decision_settings
 from harriertide.config.admin import AdminApi
 from harriertide.config.errors import OperatorFileError
@@ -15,6 +17,7 @@
 from harriertide.http.client_server import TrackedServer, make_server
 from harriertide.http.connection_table import ConnectionTable
 from harriertide.http.node_client import NodeClient
+from harriertide.http.transfer_coding import TransferCodingError
 from harriertide.objects.catalogue import Catalogue
 from harriertide.objects.front import ObjectFront
 from harriertide.objects.orphan_sweep import sweep_forever
@@ -95,8 +98,8 @@
 
     def servers(self, table: ConnectionTable) -> list[tuple[str, TrackedServer]]:
         """Listeners with their addresses: the front's and the admin's."""
-        front = make_server(table, self.front.handle)
-        admin = make_server(table, self.admin.handle, MAX_STATE_BYTES)
+        front = make_server(table, self.front.handle, self.front.refuse_coding)
+        admin = make_server(table, self.admin.handle, _refuse_admin_call, MAX_STATE_BYTES)
         return [(self._operator.listen, front), (self._operator.admin, admin)]
 
     def start(self) -> None:
@@ -158,3 +161,8 @@
     reading = [place for place, changes_data in enumerate(writes) if not changes_data] or [0]
     writing = [place for place, changes_data in enumerate(writes) if changes_data] or [0]
     return RequestClasses(read=reading[0], write=writing[0], bulk=writing[0])
+
+
+def _refuse_admin_call(request: web.BaseRequest, error: TransferCodingError) -> web.StreamResponse:
+    """The response to a call of the admin address whose body can't be decoded."""
+    return web.json_response({"reason": str(error)}, status=error.status)
--- a/tests/test_transfer_codings.py
+++ b/tests/test_transfer_codings.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import gzip
+import re
 import socket
+from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
+from pathlib import Path
 
 import pytest
 from aiohttp import HttpVersion10, HttpVersion11
 
 from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.lifecycle.machine import Lifecycle, Stage
 from tests.socket_broker import (
     LONG_BODY,
     RESPONSE_HEAD,
@@ -22,6 +26,7 @@
     run_with_broker,
     send_response,
 )
+from tests.test_operators import address
 
 BODY = b"page 1 " * 400
 NEXT_REQUEST = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -164,6 +169,88 @@
     run_with_broker(scenario)
 
 
+@dataclass(frozen=True)
+class Call:
+    """A call of another address than the platform's.
+
+    :param status: of the response to a body in chunks
+    """
+
+    start_line: str
+    status: int
+
+    def encode(self, form: Form) -> tuple[bytes, bytes]:
+        """Head and body of the call, with a body in this form."""
+        start_line = self.start_line.replace("1.1", "1.0") if form.is_http_1_0 else self.start_line
+        head = f"{start_line}\r\nHost: x\r\n{form.fields()}\r\n".encode()
+        return head, encode_chunks(gzip.compress(BODY, compresslevel=0), 1000)
+
+
+UPLOAD = Call("PUT /v/key HTTP/1.1", 411)
+DELETION = Call("DELETE /v/key HTTP/1.1", 204)
+STATE_CALL = Call("GET /state HTTP/1.1", 200)
+REJOIN_CALL = Call("POST /api/rejoin HTTP/1.1", 200)
+
+
+async def exchange(port: int, pieces: list[bytes], pause_s: float) -> bytes:
+    """Send pieces with pauses between them, and receive until the connection is closed or reset."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    received = bytearray()
+
+    async def receive() -> None:
+        with suppress(ConnectionError):
+            while data := await reader.read(1 << 16):
+                received.extend(data)
+
+    async with asyncio.timeout(5), asyncio.TaskGroup() as tasks:
+        tasks.create_task(receive())
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(pause_s)
+    writer.close()
+    return bytes(received)
+
+
+async def check_call(port: int, call: Call, form: Form, pause_s: float) -> None:
+    """Make a call: a body in chunks gets the call's response, another one the form's, and no more."""
+    last_call = f"{call.start_line}\r\nHost: x\r\nConnection: close\r\n\r\n".encode()
+    received = await exchange(port, [*call.encode(form), last_call], pause_s)
+    statuses = re.findall(rb"HTTP/1\.\d (\d+) ", received)
+    expected = call.status if form.status == 200 else form.status
+    assert int(statuses[0]) == expected, received
+    assert form.status == 200 or len(statuses) == 1, received
+
+
+@pytest.mark.parametrize("pause_s", [0, 0.02], ids=["at once", "head first"])
+@pytest.mark.parametrize("call", [UPLOAD, DELETION, STATE_CALL], ids=["upload", "deletion", "state"])
+def test_object_front_and_admin_address_refuse_a_body_that_they_cannot_decode(
+    call: Call, pause_s: float, tmp_path: Path
+) -> None:
+    """Guards against a call that is carried out though its body is in an unknown coding or has no end."""
+
+    async def scenario(broker: SocketBroker) -> None:
+        port = broker.daemon.listeners.port(1 if call is STATE_CALL else 0)
+        for form in ALL_FORMS.values():
+            await check_call(port, call, form, pause_s)
+        assert broker.node.connection_count == 0 and broker.daemon.core.open_request_count() == 0
+
+    run_with_broker(scenario, objects=str(tmp_path / "catalogue"))
+
+
+@pytest.mark.parametrize("pause_s", [0, 0.02], ids=["at once", "head first"])
+def test_the_operators_address_refuses_a_body_that_it_cannot_decode(pause_s: float) -> None:
+    """Guards against an operator's call that is carried out for a body in an unknown coding."""
+
+    async def main() -> None:
+        async with address(Lifecycle(Stage.SERVING)) as (port, api):
+            for form in ALL_FORMS.values():
+                await check_call(port, REJOIN_CALL, form, pause_s)
+            decodable_count = sum(form.status == 200 for form in ALL_FORMS.values())
+            assert api.counts["rejoin"] == decodable_count
+
+    asyncio.run(main())
+
+
 DECODABLE_RESPONSE_FIELDS = ("chunked", "Chunked", ", chunked")
 CODED_RESPONSE_HEADS = {
     "gzip": RESPONSE_HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n",
