Keep fields that describe the body when Connection names them

A write with "Connection: Content-Encoding" reached its node without that field, coded bytes as plain ones; with Content-Range, a part as the whole.

Cause: fields.forwarded_headers left out whatever Connection names, but for the fields that decisions depend on.

Change: fields whose name begins with Content- are never the connection's. RFC 9110, 7.6.1, forbids senders to name fields meant for all recipients.

--- a/harriertide/platform/fields.py
+++ b/harriertide/platform/fields.py
@@ -37,6 +37,10 @@
     )
 )  # fmt: skip
 
+# Fields that describe the body begin with this. They are never the connection's (RFC 9110, 7.6.1): without
+# them, a node would take coded bytes for plain ones, or a part for the whole.
+_CONTENT_FIELD_PREFIX = b"content-"
+
 HeaderFields = dict[bytes, bytes]  # values by lower-case name
 RawHeaders = Sequence[tuple[bytes, bytes]]  # names and values as received
 
@@ -67,15 +71,19 @@
     """Return the header fields to forward to a node: all received fields, unchanged, but hop-by-hop ones.
 
     Unknown fields are forwarded because a node may act on any field. Fields that the Connection header names
-    are not forwarded (RFC 9110, 7.6.1), except those that decisions depend on.
+    are not forwarded (RFC 9110, 7.6.1), except those that decisions depend on or that describe the body.
     """
-    named_by_connection = b",".join(value for name, value in raw_headers if name.lower() == b"connection")
-    hop_by_hop_fields = _HOP_BY_HOP_FIELDS | (
-        {name.strip().lower() for name in named_by_connection.split(b",")} - _SINGLE_VALUE_FIELDS
-    )
+    hop_by_hop_fields = _HOP_BY_HOP_FIELDS | _named_by_connection(raw_headers)
     return [(name, value) for name, value in raw_headers if name.lower() not in hop_by_hop_fields]
 
 
+def _named_by_connection(raw_headers: RawHeaders) -> set[bytes]:
+    """Return the fields that the Connection header makes hop-by-hop."""
+    options = b",".join(value for name, value in raw_headers if name.lower() == b"connection").split(b",")
+    names = {option.strip().lower() for option in options} - _SINGLE_VALUE_FIELDS
+    return {name for name in names if not name.startswith(_CONTENT_FIELD_PREFIX)}
+
+
 def read_arrival(
     method: str,
     target: str,
--- a/tests/test_request_forwarding.py
+++ b/tests/test_request_forwarding.py
@@ -56,3 +56,18 @@
         c expect 400 body=*idempotency-key*twice*
         d expect taken=0"""
     asyncio.run(play(script, objects=False, folder=tmp_path))
+
+
+def test_a_field_that_describes_the_body_is_never_taken_for_one_of_the_connection(tmp_path: Path) -> None:
+    """Guards against a coded body whose Content-Encoding is lost to a Connection field that names it."""
+    named = r"Connection: Content-Encoding, X-Hop, content-range\r\nX-Hop: one\r\n"
+    described = r"Content-Encoding: gzip\r\nContent-Range: bytes 0-2/9\r\n"
+    sent = SENT_HEAD.replace(r"Connection: keep-alive, X-Hop, x-call-id\r\nX-Hop: one\r\n", named + described)
+    forwarded = FORWARDED_HEAD.replace("X-Budget-Ms", described + "X-Budget-Ms")
+    script = rf"""
+        c send bytes '{sent}Content-Length: 3\r\n\r\nabc'
+        b1 expect PUT /api* body=abc
+        b1 head '{forwarded}'
+        {OK}
+        c expect 200 body=data"""
+    asyncio.run(play(script, objects=False, folder=tmp_path))
