Pass a node's Content-Encoding on to the client

A client that accepts compressed content, and whose node compresses, got the coded bytes with 200 and no word of their coding.

Cause: PlatformJob.respond wrote Content-Type alone of the node's fields, while Accept-Encoding and a write's Content-Encoding are forwarded to the node.

Change: Content-Encoding is passed on, several fields as one list.

Evidence: test_a_coded_response_is_passed_on_with_its_content_coding fails on the text before (no such field), passes now.

--- a/harriertide/platform/job.py
+++ b/harriertide/platform/job.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from aiohttp.http_parser import RawRequestMessage
 
 from harriertide.core import events as ev
@@ -67,11 +69,19 @@
         """Write the final response to the waiting connection."""
         if answer.kind == "served" and isinstance(answer.reply, Reply):
             reply = answer.reply
-            content_type = reply.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
-            self._connection.respond(200, reply.body, f"Content-Type: {content_type}\r\n", reply.rest)
+            self._connection.respond(200, reply.body, _content_fields(reply.headers), reply.rest)
         elif answer.kind == "rejected":
             retry_after_us = answer.retry_after_us
             fields = f"Retry-After: {retry_after_us / 1e6:.3f}\r\n" if retry_after_us > 0 else ""
             self._connection.respond(503, REJECTED_BODY, fields)
         else:
             self._connection.respond(502, FAILED_BODY)
+
+
+def _content_fields(headers: Mapping[str, str]) -> str:
+    """Return the header lines that tell a client how to read the body of a node's response."""
+    fields = f"Content-Type: {headers.get('Content-Type', DEFAULT_CONTENT_TYPE)}\r\n"
+    if "Content-Encoding" in headers:  # the body is passed on as it came
+        codings = [value for name, value in headers.items() if name.lower() == "content-encoding"]
+        fields += f"Content-Encoding: {', '.join(codings)}\r\n"
+    return fields
--- a/tests/test_response_streaming.py
+++ b/tests/test_response_streaming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from contextlib import suppress
 
@@ -290,3 +291,26 @@
 def test_the_first_part_of_a_response_fits_the_forward_buffer() -> None:
     assert node_response.FIRST_PART_MIN_BYTES < FIRST_PART_BYTES <= FORWARD_BUFFER_BYTES
     assert FORWARD_BUFFER_BYTES <= 128 * 1024  # for each of many concurrent responses
+
+
+def test_a_coded_response_is_passed_on_with_its_content_coding() -> None:
+    """Guards against a body that its node has compressed and that a client reads as it came.
+
+    A client asks for compressed content, and one node states two codings in fields of their own.
+    """
+
+    async def scenario(broker: SocketBroker) -> None:
+        for fields, expected in (
+            (b"Content-Encoding: gzip\r\n", b"Content-Encoding: gzip\r\n"),
+            (b"content-encoding: aes\r\nContent-Encoding: br\r\n", b"Content-Encoding: aes, br\r\n"),
+            (b"", b""),
+        ):
+            client = broker.connect()
+            client.sendall(request_head(broker, "Accept-Encoding: gzip\r\n"))
+            connection = await broker.next_request()
+            connection.writer.write(RESPONSE_HEAD + fields + b"Content-Length: 5\r\n\r\ncoded")
+            head, _, _ = (await receive_all(client, b"coded")).partition(b"\r\n\r\n")
+            assert b"".join(re.findall(rb"Content-Encoding: [^\r]*\r\n", head + b"\r\n")) == expected
+            client.close()
+
+    run_with_broker(scenario)
