Refuse an upload in signed chunks whatever the case and place of its word

An upload with "Content-Encoding: AWS-Chunked", or with aws-chunked in a second field of that name, was stored with the signatures between its bytes and answered 200.

Cause: call.body_length looked for the letters aws-chunked in the first Content-Encoding field; codings have no case and several fields are one list.

Change: all fields are read as one list, without case; x-amz-content-sha256 without case too.

Evidence: test_a_body_in_signed_chunks_is_never_stored_with_them, 3 of its 5 forms failed on the text before (the upload went on to its box); all pass.

--- a/harriertide/objects/call.py
+++ b/harriertide/objects/call.py
@@ -71,8 +71,9 @@
     headers = call.request.headers
     if "x-amz-copy-source" in headers:
         raise S3Error("NotImplemented", "Copies are not part of this interface")
-    coding = headers.get("Content-Encoding", "") + headers.get("x-amz-content-sha256", "")
-    if "aws-chunked" in coding or "STREAMING-" in coding:
+    codings = ",".join(headers.getall("Content-Encoding", ())).lower()
+    payload = headers.get("x-amz-content-sha256", "").lower()
+    if "aws-chunked" in codings or payload.startswith("streaming-"):
         raise S3Error("NotImplemented", "Bodies in signed chunks are not part of this interface")
     size = call.request.content_length
     if size is None:
--- a/tests/test_object_requests.py
+++ b/tests/test_object_requests.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from harriertide.objects.errors import S3Error
 from harriertide.objects.metadata import stored_headers
 from harriertide.objects.ranges import parse_range
 from harriertide.objects.xml_format import parse_complete
+from tests.socket_broker import SocketBroker, run_with_broker
 
 
 @pytest.mark.parametrize(
@@ -64,3 +67,30 @@
     unreadable = b"\xff".decode("utf-8", "surrogateescape")
     with pytest.raises(S3Error, match="UTF-8"):
         stored_headers({"Cache-Control": "no-store", "Expires": unreadable})
+
+
+UPLOAD_HEAD = b"PUT /v/key HTTP/1.1\r\nHost: x\r\n%bContent-Length: 2\r\nConnection: close\r\n\r\nab"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"Content-Encoding: aws-chunked\r\n",
+        b"Content-Encoding: AWS-Chunked\r\n",
+        b"Content-Encoding: gzip\r\nContent-Encoding: aws-chunked\r\n",
+        b"x-amz-content-sha256: STREAMING-AWS4-HMAC-SHA256-PAYLOAD\r\n",
+        b"x-amz-content-sha256: streaming-unsigned-payload-trailer\r\n",
+    ],
+)
+def test_a_body_in_signed_chunks_is_never_stored_with_them(fields: bytes, tmp_path: Path) -> None:
+    """Guards against signatures between the bytes of an object, where the word of them is in odd case or is
+    not in the first field of its name.
+    """
+
+    async def scenario(broker: SocketBroker) -> None:
+        client = broker.connect()
+        client.sendall(UPLOAD_HEAD % fields)
+        assert (await broker.read(client)).startswith(b"HTTP/1.1 501 ")
+        assert broker.node.connection_count == 0
+
+    run_with_broker(scenario, objects=str(tmp_path / "catalogue"))
