Keep headers of an object whole where they come in several fields

Callers saw: not seen; a related path of the coded body. An object stored with two Content-Encoding fields was given back with the first alone, so a reader would have taken off one of its two codings; Cache-Control and Content-Language alike.

Cause: metadata.stored_headers read one value of each name.

Change: headers that are lists are kept as one list; Expires and Content-Disposition, which are not, as before.

Evidence: test_headers_that_are_lists_are_kept_whole fails on the text before ("aes" for "aes, gzip"), passes now.

--- a/harriertide/objects/metadata.py
+++ b/harriertide/objects/metadata.py
@@ -8,9 +8,8 @@
 
 USER_METADATA_PREFIX = "x-amz-meta-"
 MAX_USER_METADATA_BYTES = 2048  # of names and values, as the interface has it
-_STORED_HEADERS = (
-    "Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language", "Expires",
-)  # fmt: skip
+_STORED_LISTS = ("Cache-Control", "Content-Encoding", "Content-Language")  # several fields are one list
+_STORED_VALUES = ("Content-Disposition", "Expires")
 
 
 def stored_headers(headers: Mapping[str, str]) -> dict[str, str]:
@@ -18,7 +17,8 @@
 
     :raises S3Error: it is too much, or no UTF-8
     """
-    standard = {name: headers[name] for name in _STORED_HEADERS if name in headers}
+    standard = {name: _join_fields(headers, name) for name in _STORED_LISTS if name in headers}
+    standard |= {name: headers[name] for name in _STORED_VALUES if name in headers}
     metadata: dict[str, str] = {}
     for name, value in headers.items():
         key = name.lower()
@@ -35,5 +35,9 @@
     return standard | metadata
 
 
+def _join_fields(headers: Mapping[str, str], name: str) -> str:
+    return ", ".join(value for key, value in headers.items() if key.lower() == name.lower())
+
+
 def _metadata_bytes(name: str, value: str) -> int:
     return len(name) - len(USER_METADATA_PREFIX) + len(value.encode())
--- a/tests/test_object_requests.py
+++ b/tests/test_object_requests.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from multidict import CIMultiDict
 
 from harriertide.objects.errors import S3Error
 from harriertide.objects.metadata import stored_headers
@@ -69,6 +70,12 @@
         stored_headers({"Cache-Control": "no-store", "Expires": unreadable})
 
 
+def test_headers_that_are_lists_are_kept_whole() -> None:
+    """Guards against an object that is given back with one of its content codings and coded with two."""
+    fields = CIMultiDict([("content-encoding", "aes"), ("Content-Encoding", "gzip"), ("Expires", "0")])
+    assert stored_headers(fields) == {"Content-Encoding": "aes, gzip", "Expires": "0"}
+
+
 UPLOAD_HEAD = b"PUT /v/key HTTP/1.1\r\nHost: x\r\n%bContent-Length: 2\r\nConnection: close\r\n\r\nab"
 
 
