Read Expect as a list, and refuse an expectation that is not met

A client of HTTP/1.0 got 100 Continue, which it takes for its response; one that spells the list in another way waited until its request was given up; a write with an unknown expectation was served.

Cause: both fronts compared the whole field with 100-continue, disregarded what was not equal, and did not ask for the version.

Change: http/expectation reads the field for both fronts; an unknown expectation is 417, before 100 Continue and before the body. The errors that refuse a request share a base that has their status (RefusedRequestError).

--- a/harriertide/http/errors.py
+++ b/harriertide/http/errors.py
@@ -1,10 +1,21 @@
-"""Errors of attempts without a response, by whether the broker or the node is at fault."""
+"""Errors of requests by whose fault they are: the client's, the broker's or the node's."""
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from harriertide.decide import api
 
 
+class RefusedRequestError(Exception):
+    """A client's request that can't be served as it is. The message says why and is sent to the client.
+
+    :cvar status: the status of the response
+    """
+
+    status = HTTPStatus.BAD_REQUEST
+
+
 class AttemptFailedError(Exception):
     """An attempt ended without a complete response.
 
--- a/harriertide/http/transfer_coding.py
+++ b/harriertide/http/transfer_coding.py
@@ -11,18 +11,17 @@
 
 from aiohttp import HttpVersion, HttpVersion11
 
+from harriertide.http.errors import RefusedRequestError
+
 CHUNKED = "chunked"
 
 
-class TransferCodingError(Exception):
+class TransferCodingError(RefusedRequestError):
     """The body of a message cannot be read because of its Transfer-Encoding.
 
-    :cvar status: the status that refuses such a request; the connection is closed after the response, as the
-        end of the body is not found
+    The connection of such a request is closed after the response, as the end of the body is not certain.
     """
 
-    status = HTTPStatus.BAD_REQUEST
-
 
 class FaultyFramingError(TransferCodingError):
     """The message violates the protocol, and the end of its body is not certain."""
--- a/harriertide/objects/errors.py
+++ b/harriertide/objects/errors.py
@@ -9,6 +9,7 @@
     "BadDigest": 400,
     "EntityTooLarge": 413,
     "EntityTooSmall": 400,
+    "ExpectationFailed": 417,
     "IncompleteBody": 400,
     "InternalError": 500,
     "InvalidArgument": 400,
--- a/harriertide/objects/front.py
+++ b/harriertide/objects/front.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from harriertide.engine.log import log
+from harriertide.http.expectation import CONTINUE_RESPONSE, UnsupportedExpectationError, expects_continue
 from harriertide.http.transfer_coding import TransferCodingError, UnsupportedCodingError
 from harriertide.objects import multipart
 from harriertide.objects.call import S3Call, body_length, parse_call
@@ -78,6 +79,7 @@
     async def _respond(self, request: web.BaseRequest, call_id: str) -> web.StreamResponse:
         try:
             call = parse_call(request, call_id)
+            _expects_continue(request)
             if not self._store.has_bucket(call.bucket):
                 raise S3Error("NoSuchBucket", "The specified bucket does not exist")
             return await self._route(call)
@@ -229,8 +231,15 @@
     return S3Error("MethodNotAllowed", "The method is not allowed against this resource")
 
 
+def _expects_continue(request: web.BaseRequest) -> bool:
+    try:
+        return expects_continue(request.headers.getall("Expect", ()), request.version)
+    except UnsupportedExpectationError as error:
+        raise S3Error("ExpectationFailed", str(error)) from None
+
+
 def _send_continue(call: S3Call) -> None:
     """Answer a client that asks before it sends its body, once the body is wanted."""
     transport = call.request.transport
-    if call.request.headers.get("Expect", "").lower() == "100-continue" and transport is not None:
-        transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    if _expects_continue(call.request) and transport is not None:
+        transport.write(CONTINUE_RESPONSE)
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -22,12 +22,13 @@
 from harriertide.http.client_connection import ClientConnection, ConnectionTracker
 from harriertide.http.client_server import MAX_START_LINE_BYTES, TrackedServer
 from harriertide.http.connection_table import ConnectionTable
+from harriertide.http.errors import RefusedRequestError
+from harriertide.http.expectation import CONTINUE_RESPONSE, expects_continue
 from harriertide.http.node_connection import FORWARD_READ_AHEAD_BYTES, limit_read_size
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
-from harriertide.platform.fields import HeaderFields, MalformedRequestError, read_fields
+from harriertide.http.transfer_coding import check_transfer_codings
+from harriertide.platform.fields import HeaderFields, read_fields
 from harriertide.platform.request_body import (
     ALWAYS_BUFFERED_BYTES,
-    BodyTooLongError,
     RequestBodyBuffer,
     StreamedRequestBody,
     declared_length,
@@ -168,22 +169,18 @@
     def _begin_request(self, message: RawRequestMessage, body: StreamReader) -> None:
         """Begin a request whose head has been received."""
         self._message = message
+        headers, version = message.headers, message.version
         try:
             self.fields = read_fields(message.raw_headers)
-            check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version)
+            check_transfer_codings(headers.getall("Transfer-Encoding", ()), version)
             length = declared_length(self.fields)
-        except MalformedRequestError as error:
-            self.refuse(400, str(error))
+            is_continue_expected = expects_continue(headers.getall("Expect", ()), version)
+        except RefusedRequestError as error:
+            self.refuse(error.status, str(error))  # the connection is closed without reading the body
             return
-        except TransferCodingError as error:
-            self.refuse(error.status, str(error))
-            return
-        except BodyTooLongError as error:
-            self.refuse(413, str(error))  # the connection is closed without reading the body
-            return
-        if self.fields.get(b"expect", b"").lower() == b"100-continue" and not body.is_eof():
+        if is_continue_expected and not body.is_eof():
             assert self.transport is not None
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.transport.write(CONTINUE_RESPONSE)
         self._body = body
         self._buffer.reserve(length)
 
--- a/harriertide/platform/fields.py
+++ b/harriertide/platform/fields.py
@@ -10,6 +10,7 @@
 
 from harriertide.decide import api
 from harriertide.decide.settings import Names
+from harriertide.http.errors import RefusedRequestError
 
 # The client's time budget starts when the client sends the request, which the broker reads slightly later.
 # The deadline of the decision module, which adds no margin of its own, is therefore earlier by this much.
@@ -45,7 +46,7 @@
 RawHeaders = Sequence[tuple[bytes, bytes]]  # names and values as received
 
 
-class MalformedRequestError(Exception):
+class MalformedRequestError(RefusedRequestError):
     """The request violates the protocol. The message describes the violation and is sent with status 400."""
 
 
--- a/harriertide/platform/request_body.py
+++ b/harriertide/platform/request_body.py
@@ -8,12 +8,14 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 from typing import Protocol
 
 from aiohttp.streams import StreamReader
 
 from harriertide.engine.runtime import Attempt
 from harriertide.http.body_stream import STREAM_IDLE_TIMEOUT_S, BodyBudget
+from harriertide.http.errors import RefusedRequestError
 from harriertide.platform.fields import HeaderFields
 from harriertide.platform.response_writer import LAST_CHUNK, encode_chunk
 
@@ -22,8 +24,10 @@
 ALWAYS_BUFFERED_BYTES = 64 * 1024  # bodies up to this size are buffered even if the budget is exhausted
 
 
-class BodyTooLongError(Exception):
-    """A request body exceeds MAX_REQUEST_BODY_BYTES; the request is answered with status 413."""
+class BodyTooLongError(RefusedRequestError):
+    """A request body exceeds MAX_REQUEST_BODY_BYTES."""
+
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
 def declared_length(fields: HeaderFields) -> int:
