Refuse coded bodies in the library's middlewares

A request with "Transfer-Encoding: gzip, chunked" to an application behind BrokerMiddleware ran its handler with the coded bytes as the body.

Cause: servers take off chunked alone, and neither middleware read the field.

Change: both pass the check of the fronts before the broker is asked, and answer its status. Requests that pass beside the broker are left to the application.

Evidence: test_a_coded_body_is_not_given_to_a_handler_as_plain[/node/0-501] and test_a_coded_body_is_not_given_to_an_asgi_application_as_plain failed on the text before (the handler ran), all pass.

--- a/harriertide/library/asgi.py
+++ b/harriertide/library/asgi.py
@@ -6,9 +6,9 @@
 application runs once an attempt, with it under `scope["state"]["attempt"]` (Starlette:
 `request.state.attempt`). It lets the errors of `broker.nodes` pass, or raises AttemptError and its kinds
 itself. A body that fits into the buffer is there for every attempt; a larger one is streamed once, and its
-request not retried. Once the application has started its response, that is the client's: no attempt follows,
-and a fault after that leaves as ResponseInterruptedError, on which servers end the connection. The broker
-starts and stops with the lifespan.
+request not retried; one in a transfer coding that is not decoded is refused. Once the application has started
+its response, that is the client's: no attempt follows, and a fault after that leaves as
+ResponseInterruptedError, on which servers end the connection. The broker starts and stops with the lifespan.
 """
 
 from __future__ import annotations
@@ -17,6 +17,9 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+from aiohttp import HttpVersion10, HttpVersion11
+
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 from harriertide.library.attempt import Attempt
 from harriertide.library.body_buffer import BodyBuffer
 from harriertide.library.broker import Broker
@@ -126,6 +129,15 @@
     return int(text) if text.isdigit() else None
 
 
+def _check_body_coding(scope: Scope) -> None:
+    """Check that the server has given the body of a request as it was written.
+
+    :raises TransferCodingError: it is in a transfer coding that servers do not decode
+    """
+    codings = [value.decode("latin-1") for name, value in scope["headers"] if name == b"transfer-encoding"]
+    check_transfer_codings(codings, HttpVersion10 if scope.get("http_version") == "1.0" else HttpVersion11)
+
+
 class BrokerMiddleware:
     """The requests of one application before one broker.
 
@@ -154,6 +166,11 @@
         if spec is None:
             await self.app(scope, receive, send)
             return
+        try:
+            _check_body_coding(scope)
+        except TransferCodingError as error:
+            await _send_page(send, error.status, f"{error}\n".encode(), [(b"connection", b"close")])
+            return
         if not self.broker.has_started:  # a server without lifespan
             await self.broker.start()
         size = _content_length(scope)
--- a/harriertide/library/web.py
+++ b/harriertide/library/web.py
@@ -8,8 +8,9 @@
 broker. The handler runs once an attempt, with it under `request[ATTEMPT]`; what it returns is the response.
 It lets the errors of `broker.nodes` pass, or raises AttemptError and its kinds itself. A body that fits into
 the buffer is there for every attempt by `await request.read()`; a larger one is streamed once, and its
-request not retried. Once a handler has prepared its response, that is the client's: no attempt follows, and a
-fault after that ends the connection, so that the client can tell.
+request not retried; one in a transfer coding that is not decoded is refused. Once a handler has prepared its
+response, that is the client's: no attempt follows, and a fault after that ends the connection, so that the
+client can tell.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from aiohttp import web
 
 from harriertide.http.socket_state import is_closed_by_peer
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 from harriertide.library.attempt import Attempt
 from harriertide.library.body_buffer import BodyBuffer
 from harriertide.library.broker import Broker
@@ -80,6 +82,12 @@
         spec = self._describe(request)
         if spec is None:
             return await handler(request)
+        try:
+            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+        except TransferCodingError as error:
+            response = web.Response(status=error.status, text=f"{error}\n")
+            response.force_close()
+            return response
         size = request.content_length if request.body_exists else 0
         is_buffered = self.body_buffer.reserve(size)
         try:
--- a/tests/test_middlewares.py
+++ b/tests/test_middlewares.py
@@ -338,3 +338,47 @@
     assert (
         seen.ran == ["b1", "b1"] and not broker.is_accepting_calls and broker.core.open_request_count() == 0
     )
+
+
+CODED_HEAD = b"PUT %b HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(("path", "status"), [("/node/0", b"501"), ("/free", b"200")])
+def test_a_coded_body_is_not_given_to_a_handler_as_plain(path: str, status: bytes) -> None:
+    """Guards against an application that writes a client's coded bytes to nodes as its body.
+
+    A request that passes beside the broker is the application's own affair.
+    """
+
+    async def client(session: ClientSession, base: str) -> None:
+        assert session._base_url is not None and session._base_url.port is not None
+        reader, writer = await asyncio.open_connection("127.0.0.1", session._base_url.port)
+        writer.write(CODED_HEAD % path.encode() + b"5\r\ncoded\r\n0\r\n\r\n")
+        assert (await reader.read()).split(b" ")[1] == status
+        writer.close()
+
+    assert len(play("aiohttp", never, client).ran) == (1 if status == b"200" else 0)
+
+
+def test_a_coded_body_is_not_given_to_an_asgi_application_as_plain() -> None:
+    """Guards against servers that take off chunked alone, as the one for aiohttp does."""
+    sent: list[Any] = []
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        raise AssertionError("the application has run")
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    async def receive() -> Any:
+        return {"type": "http.request", "body": b"coded", "more_body": False}
+
+    async def main() -> None:
+        async with Broker(ALONE, NODES, seed=1) as broker:
+            guard = asgi.BrokerMiddleware(app, broker, lambda scope: RequestSpec("v", shard=0))
+            headers = [(b"transfer-encoding", b"gzip"), (b"transfer-encoding", b"chunked")]
+            await guard({"type": "http", "path": "/", "headers": headers}, receive, send)
+            assert broker.core.counts["taken"] == 0
+
+    asyncio.run(asyncio.wait_for(main(), 10))
+    assert [message["status"] for message in sent if "status" in message] == [501]
