--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -196,6 +196,20 @@
     assert broker.core.counts["outcome_error"] == 1 and broker.core.counts["outcome_rejected"] == 1
 
 
+@pytest.mark.parametrize("name", ["Transfer-Encoding", "transfer-encoding", "TE"])
+def test_the_client_of_nodes_sends_no_coding_that_it_does_not_carry_out(name: str) -> None:
+    """Guards against two statements of a body's length in one request, and coded bytes in its response."""
+
+    async def work(broker: Broker, ran: list[str]) -> None:
+        async def perform(attempt: Attempt) -> bytes:
+            return (await broker.nodes.request(attempt, "PUT", "/v/x", {name: "gzip"}, b"page")).body
+
+        with pytest.raises(ValueError, match=f"(?i){name}"):
+            await broker.call(spec_for(), perform)
+
+    assert play(work).core.counts["attempts"] == 1
+
+
 def test_work_that_swallows_its_cancellation_does_not_keep_its_caller_from_an_answer() -> None:
     """The work of a call catches CancelledError and goes on; its caller must not wait for it."""
 
