Have stand-in nodes refuse codings that they do not take off

Seen: the stand-in node of the demo and the rig's object node answered 200 to a body with "Transfer-Encoding: gzip, chunked" and kept the coded bytes, and took off a Content-Encoding that a node has to keep. A stand-in that accepts anything hides a broker's fault.

Change: both pass the fronts' check and answer 501, and leave Content-Encoding alone; the tests' stub fails on any coding but chunked.

The rigs' nodes that read by hand know Content-Length alone and fail on other framing, as before.

--- a/harriertide/cli/node.py
+++ b/harriertide/cli/node.py
@@ -26,6 +26,7 @@
 
 from harriertide.decide.settings import SettingsError
 from harriertide.engine.clock import sleep_until
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 
 MAX_FIELD_BYTES = 16_384  # of a header: as long as the fronts accept a request line
 MIN_OPTION_VALUES = {"--slots": 1, "--queue": 0, "--took-ms": 0, "--most-mb": 1}
@@ -69,6 +70,10 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, in the order of arrival; rejected where slots and queue are full."""
+        try:
+            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+        except TransferCodingError as error:
+            return web.Response(status=error.status, text=f"{error}\n")
         if self._free_slots.locked() and self._waiting_count >= self._queue_length:
             return _reject()
         self._waiting_count += 1
@@ -150,7 +155,7 @@
 
     :returns: the running server, to be cleaned up by the caller, and its port.
     """
-    server = web.Server(node.handle, access_log=None, max_field_size=MAX_FIELD_BYTES)
+    server = web.Server(node.handle, access_log=None, auto_decompress=False, max_field_size=MAX_FIELD_BYTES)
     runner = web.ServerRunner(server)
     await runner.setup()
     site = web.TCPSite(runner, host, port)
--- a/harriertide/lab/rigs/object_node.py
+++ b/harriertide/lab/rigs/object_node.py
@@ -9,6 +9,7 @@
 from xxhash import xxh3_64_hexdigest
 
 from harriertide.engine.clock import sleep_until
+from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
 from harriertide.lab.rigs.fault_script import HOST
 
 
@@ -31,7 +32,8 @@
 
         :param again: at the port that it had
         """
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None), shutdown_timeout=0.1)
+        server = web.Server(self._handle, access_log=None, auto_decompress=False)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, HOST, self.port if again else 0)
         await site.start()
@@ -40,6 +42,10 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.raw_path
         self._on_request(self.name, request.method, path)
+        try:
+            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+        except TransferCodingError as error:
+            return web.Response(status=error.status, text=f"{error}\n")
         await sleep_until(asyncio.get_running_loop().time() + self._service_s)
         if request.method == "PUT":
             self._blobs[path] = await request.read()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -61,8 +61,10 @@
         self.raw_head = await self.reader.readuntil(b"\r\n\r\n")
         first, *rest = self.raw_head.decode("utf-8", "surrogateescape").split("\r\n")[:-2]
         headers = dict(row.split(": ", 1) for row in rest)
-        if headers.get("Transfer-Encoding") == "chunked":
+        coding = headers.get("Transfer-Encoding")
+        if coding == "chunked":
             return first.split(" ", 2), headers, b"", True
+        assert coding is None, f"no broker may forward the transfer coding {coding}"
         size, body = 0 if head else int(headers.get("Content-Length", 0)), b""
         while len(body) < size and (chunk := await self.reader.read(size - len(body))):
             body += chunk
