--- a/harriertide/cli/node.py
+++ b/harriertide/cli/node.py
@@ -26,7 +26,7 @@
 
 from harriertide.decide.settings import SettingsError
 from harriertide.engine.clock import sleep_until
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.http.transfer_coding import TransferCodingError, check_body_coding
 
 MAX_FIELD_BYTES = 16_384  # of a header: as long as the fronts accept a request line
 MIN_OPTION_VALUES = {"--slots": 1, "--queue": 0, "--took-ms": 0, "--most-mb": 1}
@@ -71,7 +71,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, in the order of arrival; rejected where slots and queue are full."""
         try:
-            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+            check_body_coding(request)
         except TransferCodingError as error:
             return web.Response(status=error.status, text=f"{error}\n")
         if self._free_slots.locked() and self._waiting_count >= self._queue_length:
--- a/harriertide/http/client_server.py
+++ b/harriertide/http/client_server.py
@@ -11,7 +11,7 @@
 
 from harriertide.http.client_connection import ClientConnection
 from harriertide.http.connection_table import ConnectionTable
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.http.transfer_coding import TransferCodingError, check_body_coding
 
 MAX_BODY_BYTES = 64 * 1024  # of a request, unless the caller sets another limit
 MAX_START_LINE_BYTES = 16_384  # of a request
@@ -69,7 +69,7 @@
         table.set_state(connection, "busy")
         CLIENT_TRANSPORT.set(connection.transport)
         try:
-            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+            check_body_coding(request)
             return await handle(request)
         except TransferCodingError as error:
             response = refuse_coding(request, error)
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -26,7 +26,7 @@
     HeadBuffer,
     MalformedResponseError,
     ResponsePhase,
-    check_body_coding,
+    check_response_coding,
     closes_connection,
     declared_length,
 )
@@ -298,7 +298,7 @@
         try:
             length = declared_length(message)
             if length is None and message.code not in BODILESS_STATUSES:
-                check_body_coding(message)
+                check_response_coding(message)
         except MalformedResponseError as error:
             self._fail(error)
             return
--- a/harriertide/http/response_framing.py
+++ b/harriertide/http/response_framing.py
@@ -8,7 +8,7 @@
 from aiohttp import HttpVersion11
 from aiohttp.http_parser import RawResponseMessage
 
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.http.transfer_coding import TransferCodingError, check_body_coding
 
 MAX_HEAD_BYTES = 16 * 1024  # of all heads of one response, including interim (1xx) ones
 END_OF_HEAD = b"\r\n\r\n"
@@ -83,7 +83,7 @@
     return int(lengths[0]) if lengths else None
 
 
-def check_body_coding(message: RawResponseMessage) -> None:
+def check_response_coding(message: RawResponseMessage) -> None:
     """Check that a body that does not state its length is not coded, except by `chunked`.
 
     No request asks for another transfer coding, so a node must not send one (RFC 9112, 7.4).
@@ -91,7 +91,7 @@
     :raises MalformedResponseError: the body can't be decoded, or its end is not certain
     """
     try:
-        check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version)
+        check_body_coding(message)
     except TransferCodingError as error:
         raise MalformedResponseError(str(error)) from None
 
--- a/harriertide/http/transfer_coding.py
+++ b/harriertide/http/transfer_coding.py
@@ -8,14 +8,28 @@
 
 from collections.abc import Iterable
 from http import HTTPStatus
+from typing import Protocol
 
 from aiohttp import HttpVersion, HttpVersion11
+from multidict import MultiMapping
 
 from harriertide.http.errors import RefusedRequestError
 
 CHUNKED = "chunked"
 
 
+class Message(Protocol):
+    """The part of the interface of aiohttp's requests, responses and heads that is needed here."""
+
+    @property
+    def headers(self) -> MultiMapping[str]:
+        """The header fields."""
+
+    @property
+    def version(self) -> HttpVersion | None:
+        """The version of HTTP; None if it is not known yet."""
+
+
 class TransferCodingError(RefusedRequestError):
     """The body of a message cannot be read because of its Transfer-Encoding.
 
@@ -33,9 +47,17 @@
     status = HTTPStatus.NOT_IMPLEMENTED
 
 
-def check_transfer_codings(field_values: Iterable[str], version: HttpVersion) -> None:
+def check_body_coding(message: Message) -> None:
     """Check that the body of a message is not coded, except by `chunked`.
 
+    :raises TransferCodingError: see `check_transfer_codings`
+    """
+    check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version or HttpVersion11)
+
+
+def check_transfer_codings(field_values: Iterable[str], version: HttpVersion) -> None:
+    """Check the codings of a body.
+
     :param field_values: the values of the Transfer-Encoding fields in their order, which together are one
         list; none if the message has no such field
     :raises FaultyFramingError: `chunked` is not the last coding, or occurs twice; or the message is of
--- a/harriertide/lab/rigs/object_node.py
+++ b/harriertide/lab/rigs/object_node.py
@@ -9,7 +9,7 @@
 from xxhash import xxh3_64_hexdigest
 
 from harriertide.engine.clock import sleep_until
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.http.transfer_coding import TransferCodingError, check_body_coding
 from harriertide.lab.rigs.fault_script import HOST
 
 
@@ -43,7 +43,7 @@
         path = request.raw_path
         self._on_request(self.name, request.method, path)
         try:
-            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+            check_body_coding(request)
         except TransferCodingError as error:
             return web.Response(status=error.status, text=f"{error}\n")
         await sleep_until(asyncio.get_running_loop().time() + self._service_s)
--- a/harriertide/library/web.py
+++ b/harriertide/library/web.py
@@ -21,7 +21,7 @@
 from aiohttp import web
 
 from harriertide.http.socket_state import is_closed_by_peer
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.http.transfer_coding import TransferCodingError, check_body_coding
 from harriertide.library.attempt import Attempt
 from harriertide.library.body_buffer import BodyBuffer
 from harriertide.library.broker import Broker
@@ -83,7 +83,7 @@
         if spec is None:
             return await handler(request)
         try:
-            check_transfer_codings(request.headers.getall("Transfer-Encoding", ()), request.version)
+            check_body_coding(request)
         except TransferCodingError as error:
             response = web.Response(status=error.status, text=f"{error}\n")
             response.force_close()
--- a/harriertide/lifecycle/operator_api.py
+++ b/harriertide/lifecycle/operator_api.py
@@ -19,7 +19,7 @@
 from aiohttp.streams import StreamReader
 
 from harriertide.http.limits import OPERATOR_DESCRIPTOR_COUNT
-from harriertide.http.transfer_coding import TransferCodingError, check_transfer_codings
+from harriertide.http.transfer_coding import TransferCodingError, check_body_coding
 from harriertide.lifecycle.machine import CommandResult, Lifecycle
 
 # Of the descriptors reserved for operators the listener has one, and a caller that is being closed another.
@@ -197,7 +197,7 @@
         :raises TransferCodingError: its body can't be decoded
         """
         self._message, self._body = message, body
-        check_transfer_codings(message.headers.getall("Transfer-Encoding", ()), message.version)
+        check_body_coding(message)
 
     def _refuse_malformed(self, error: Exception) -> None:
         is_head_too_long = self._message is None and self._received_bytes > MAX_HEAD_BYTES
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -25,7 +25,7 @@
 from harriertide.http.errors import RefusedRequestError
 from harriertide.http.expectation import CONTINUE_RESPONSE, expects_continue
 from harriertide.http.node_connection import FORWARD_READ_AHEAD_BYTES, limit_read_size
-from harriertide.http.transfer_coding import check_transfer_codings
+from harriertide.http.transfer_coding import check_body_coding
 from harriertide.platform.fields import HeaderFields, read_fields
 from harriertide.platform.request_body import (
     ALWAYS_BUFFERED_BYTES,
@@ -169,12 +169,11 @@
     def _begin_request(self, message: RawRequestMessage, body: StreamReader) -> None:
         """Begin a request whose head has been received."""
         self._message = message
-        headers, version = message.headers, message.version
         try:
             self.fields = read_fields(message.raw_headers)
-            check_transfer_codings(headers.getall("Transfer-Encoding", ()), version)
+            check_body_coding(message)
             length = declared_length(self.fields)
-            is_continue_expected = expects_continue(headers.getall("Expect", ()), version)
+            is_continue_expected = expects_continue(message.headers.getall("Expect", ()), message.version)
         except RefusedRequestError as error:
             self.refuse(error.status, str(error))  # the connection is closed without reading the body
             return
