Take a list of endpoints in a transfer coding for a failed call

A list from discovery with "Transfer-Encoding: gzip, chunked" was read as if it were plain; bytes that are coded would have kept the watch silent for 2.5 s, with no word of why.

Cause: aiohttp's client takes off chunked alone, and EndpointWatch looked at the status of a response only.

Change: the same check at the head; the call has failed at once, and the log line "endpoint watch failed" names the reason.

Evidence: test_a_list_in_a_transfer_coding_is_a_failed_call, 2 of its 3 forms were taken for a list on the text before, all pass.

--- a/harriertide/platform/endpoint_watch.py
+++ b/harriertide/platform/endpoint_watch.py
@@ -17,6 +17,7 @@
 from harriertide.core import events as ev
 from harriertide.decide import api
 from harriertide.engine.log import log
+from harriertide.http.transfer_coding import check_body_coding
 from harriertide.platform.endpoint_directory import EndpointDirectory, PageKind
 from harriertide.platform.json_stream import MAX_OBJECT_BYTES, JsonObjectStream
 
@@ -188,12 +189,12 @@
                 read_timeout.reschedule(loop.time() + self._head_timeout_s)
             watch_url = f"{url}?watch=1&after={self._directory.version}"
             async with session.get(watch_url, allow_redirects=False) as response:
-                _check_status(response)
+                _check_head(response)
                 await self._read_changes(response, read_timeout)
 
     async def _read_full_list(self, session: aiohttp.ClientSession, url: str) -> None:
         async with session.get(url, allow_redirects=False) as response:
-            _check_status(response)
+            _check_head(response)
             object_json = b""
             async for chunk in response.content.iter_any():
                 object_json += chunk
@@ -238,6 +239,12 @@
             self._cancel_previous()
 
 
-def _check_status(response: aiohttp.ClientResponse) -> None:
+def _check_head(response: aiohttp.ClientResponse) -> None:
+    """Check that a response brings a list that can be read.
+
+    :raises ValueError: it has another status than 200
+    :raises TransferCodingError: its body is in a transfer coding that is not decoded
+    """
+    check_body_coding(response)
     if response.status != 200:
         raise ValueError(f"discovery did not answer with status 200 but {response.status}")
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -36,8 +36,9 @@
 class SilentDiscovery:
     """Answers each call with an empty list or not at all, as listed, and then sends nothing more."""
 
-    def __init__(self, answers_calls: list[bool]) -> None:
+    def __init__(self, answers_calls: list[bool], transfer_codings: bytes = b"chunked") -> None:
         self.answers_calls = answers_calls
+        self.transfer_codings = transfer_codings
         self.call_times: list[float] = []
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -45,12 +46,14 @@
         self.call_times.append(round(asyncio.get_running_loop().time() - 1.0, 3))
         if self.answers_calls and self.answers_calls.pop(0):
             chunk = b"%x\r\n%s\r\n" % (len(EMPTY_LIST), EMPTY_LIST)
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: %b\r\n\r\n" % self.transfer_codings + chunk)
         with suppress(asyncio.CancelledError):
             await asyncio.Event().wait()
 
 
-def run_watch(answers_calls: list[bool], seconds: float) -> tuple[list[float], list[str]]:
+def run_watch(
+    answers_calls: list[bool], seconds: float, transfer_codings: bytes = b"chunked"
+) -> tuple[list[float], list[str]]:
     """Return the times of the calls, and the kinds of the updates that the core received, in order."""
     update_kinds: list[str] = []
 
@@ -59,7 +62,7 @@
         update_kinds.append(event.update.kind)
 
     async def main() -> list[float]:
-        discovery = SilentDiscovery(answers_calls)
+        discovery = SilentDiscovery(answers_calls, transfer_codings)
         server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         watch = EndpointWatch(f"127.0.0.1:{port}", EndpointDirectory({}), post)
@@ -72,6 +75,12 @@
     return virtual_time.run(main()), update_kinds
 
 
+@pytest.mark.parametrize("transfer_codings", [b"gzip, chunked", b"chunked, gzip", b"chunked, chunked"])
+def test_a_list_in_a_transfer_coding_is_a_failed_call(transfer_codings: bytes) -> None:
+    """Guards against coded bytes that are taken for a list, or for one that goes on."""
+    assert run_watch([True], 0.1, transfer_codings)[1] == ["failed"]
+
+
 def test_a_silent_watch_is_reopened_in_time_without_the_core() -> None:
     """Discovery goes silent on an open watch, and may have a drain to report.
 
