Compare the payload's word in the letters that the interface has it in

Seen: make test on, 1 failed of 1,365: test_interface_names misses "STREAMING-", a value that clients send, since compares it in small letters. The check is right; the comparison is in capitals now, without case as before.

Evidence: tests/test_interface_names.py and tests/test_object_requests.py pass.

--- a/harriertide/objects/call.py
+++ b/harriertide/objects/call.py
@@ -72,8 +72,8 @@
     if "x-amz-copy-source" in headers:
         raise S3Error("NotImplemented", "Copies are not part of this interface")
     codings = ",".join(headers.getall("Content-Encoding", ())).lower()
-    payload = headers.get("x-amz-content-sha256", "").lower()
-    if "aws-chunked" in codings or payload.startswith("streaming-"):
+    payload = headers.get("x-amz-content-sha256", "").upper()
+    if "aws-chunked" in codings or payload.startswith("STREAMING-"):
         raise S3Error("NotImplemented", "Bodies in signed chunks are not part of this interface")
     size = call.request.content_length
     if size is None:
