Have one process at a time own the object front's catalogue

Cause: who opens a catalogue declares all blobs that are being written to be left over ("update strays set pending = 0" in Catalogue.__init__) and has them deleted, while the process before it still writes them and answers for them.

Change: a lock of the system (flock) on CATALOGUE.lock, which ends with its process, before the first byte of the catalogue is touched. A start waits for the owner for 6 s, longer than a process takes to end once it is told to, and ends then with 2 and a line that names the catalogue and the owner's process.

Why it works: what is pending at an opening belongs to a process that has ended, which nobody can be answered by any more.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -326,6 +326,10 @@
     monitor = LoopMonitor()
 
     async def main() -> None:
+        if operator_file is not None:
+            from harriertide.objects.catalogue_lock import wait_for_owner
+
+            await wait_for_owner(operator_file.catalogue)
         daemon = Daemon(config, operator_file, maintenance_overrides, monitor)
         await _serve(daemon, environment, record_path)
 
--- a/harriertide/objects/catalogue.py
+++ b/harriertide/objects/catalogue.py
@@ -13,6 +13,7 @@
 from hashlib import md5
 from typing import Any
 
+from harriertide.objects.catalogue_lock import CatalogueLock
 from harriertide.objects.records import Orphan, Segment, StoredObject, Upload, UploadPart
 
 _SCHEMA = """
@@ -42,26 +43,26 @@
 
 
 class Catalogue:
-    """One file, one connection, used from the event loop's thread only.
+    """One file, one connection, used from the event loop's thread only. One process at a time has it open.
 
     :param path: of the file; it is made where there is none
+    :raises CatalogueInUseError: another process has it open; nothing of the file was touched
+    :raises OperatorFileError: the lock beside it cannot be had
+    :raises sqlite3.Error: the file cannot be used
     """
 
     def __init__(self, path: str) -> None:
-        self._db = sqlite3.connect(path, isolation_level=None)
-        self._db.execute("pragma journal_mode = wal")
-        self._db.execute("pragma synchronous = normal")
-        self._db.executescript(_SCHEMA)
-        for table in ("objects", "uploads"):  # files of releases that stored no headers
-            columns = [row[1] for row in self._db.execute(f"pragma table_info({table})")]
-            if "headers" not in columns:
-                self._db.execute(f"alter table {table} add column headers text not null default '{{}}'")
-        # what was being written when an earlier process ended belongs to nobody
-        self._db.execute("update strays set pending = 0")
+        self._lock = CatalogueLock(path)
+        try:
+            self._db = _open(path)
+        except sqlite3.Error:
+            self._lock.release()
+            raise
 
     def close(self) -> None:
-        """Close the file."""
+        """Close the file, and leave it to other processes."""
         self._db.close()
+        self._lock.release()
 
     # --- blobs that are being written, and orphans ---------------------------------------------
 
@@ -274,6 +275,21 @@
             self._db.execute("update uploads set state = 'aborted' where id = ?", (upload.id,))
 
 
+def _open(path: str) -> sqlite3.Connection:
+    """Open the file of a catalogue, and bring it to the form of this release; its lock is held."""
+    db = sqlite3.connect(path, isolation_level=None)
+    db.execute("pragma journal_mode = wal")
+    db.execute("pragma synchronous = normal")
+    db.executescript(_SCHEMA)
+    for table in ("objects", "uploads"):  # files of releases that stored no headers
+        columns = [row[1] for row in db.execute(f"pragma table_info({table})")]
+        if "headers" not in columns:
+            db.execute(f"alter table {table} add column headers text not null default '{{}}'")
+    # what was being written when an earlier process ended belongs to nobody
+    db.execute("update strays set pending = 0")
+    return db
+
+
 def _segment_row(segment: Segment) -> tuple[str, str, int, int, str]:
     """The columns of a segment, as `pieces` and `parts` have them."""
     return segment.blob, segment.node, segment.shard, segment.size, segment.node_etag
