End the second process of a test where the test fails

Seen: test_a_second_start_beside_a_running_front_deletes_nothing left its second process running where it failed, as on the text before the lock.

Change: it is killed and waited for in a finally; every assertion stands as it was.

Evidence: on the text before the lock the test still fails and no process is left; on this text tests/test_catalogue_lock.py passes, 5 of 5.

--- a/tests/test_catalogue_lock.py
+++ b/tests/test_catalogue_lock.py
@@ -144,14 +144,19 @@
     async def scenario(broker: SocketBroker) -> None:
         upload, connection = await begin_upload(broker)
         second = await start_front(broker, tmp_path)
-        await asyncio.sleep(START_TIME_S)
-        send_response(connection, body=b"")
-        assert (await upload).startswith(b"HTTP/1.1 200 ")
-        line = await read_until(second, "harriertide: ")
-        assert f"{tmp_path}/catalogue is in use by process {os.getpid()}" in line
-        assert await second.wait() == 2
-        await asyncio.sleep(SWEEP_TIME_S)
-        assert broker.node.requests.empty()
+        try:
+            await asyncio.sleep(START_TIME_S)
+            send_response(connection, body=b"")
+            assert (await upload).startswith(b"HTTP/1.1 200 ")
+            line = await read_until(second, "harriertide: ")
+            assert f"{tmp_path}/catalogue is in use by process {os.getpid()}" in line
+            assert await second.wait() == 2
+            await asyncio.sleep(SWEEP_TIME_S)
+            assert broker.node.requests.empty()
+        finally:
+            if second.returncode is None:
+                second.kill()
+                await second.wait()
 
     run_with_broker(scenario, objects=str(tmp_path / "catalogue"))
 
