Log why an attempt failed, and measure the memory of the process against its limit

Cause: in the operators' evidence no line tells why all nodes were ejected, or what held the memory. Change: the line 'attempt failed' has request, node, outcome and reason, one a second for each outcome with a count of the rest; counters boxes.failed_*. The process samples its anonymous and shared memory 20 times a second; 'memory is short' names the owners at 80, 90 and 95 % of the limit; counters memory.kib, memory.peak_kib.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -28,6 +28,7 @@
 from harriertide.engine.counters import counter_fields
 from harriertide.engine.log import capture_library_logs, log
 from harriertide.engine.loop_monitor import LoopMonitor, monitored_loop
+from harriertide.engine.memory_monitor import MemoryMonitor
 from harriertide.engine.runtime import Runtime
 from harriertide.http.body_stream import BodyBudget
 from harriertide.http.connection_table import ConnectionTable
@@ -105,6 +106,7 @@
         self.clients = ConnectionTable(limits)
         self.client = NodeClient(self._find_node_address, names.connect_us, names.idle_us, limits)
         self.bodies = BodyBudget(limits.max_buffered_request_bytes)
+        self.memory = MemoryMonitor(limits.memory_bytes, self.held_memory)
         self.front = Front(self.runtime, self.client, names, self.bodies)
         self.probes = Probes(self.client, self.runtime.post)
         self.runtime.start_probe = self.probes.start
@@ -174,6 +176,18 @@
         self.client.pool.apply_limits(limits)
         self.clients.apply_limits(limits)
         self.bodies.limit_bytes = limits.max_buffered_request_bytes
+        self.memory.apply_limit(limits.memory_bytes)
+
+    def held_memory(self) -> dict[str, int]:
+        """Return what is held for clients and nodes: counts, and bytes where the name says so."""
+        return {
+            "client_connections": len(self.clients),
+            "node_connections": len(self.client.pool),
+            "requests": self.core.open_request_count(),
+            "request_bytes": self.bodies.reserved_bytes,
+            "response_bytes": self.client.pool.buffered_bytes,
+            "unsent_bytes": self.clients.unsent_bytes(),
+        }
 
     def counters(self) -> dict[str, int]:
         """All counters, as `part.name`."""
@@ -183,6 +197,7 @@
             "boxes": self.client.counts,
             "clients": self.clients.counts,
             "probes": self.probes.counts,
+            "memory": self.memory.counts,
         }
         if self._loop_monitor is not None:
             parts["loop"] = self._loop_monitor.counts
@@ -263,8 +278,10 @@
         _resume_garbage_collection()
         if self._loop_monitor is not None:
             self._loop_monitor.is_logging = True
+        self.memory.start()
         await self.stopping.wait()
         await self.stop()
+        self.memory.close()
         log.log_final("counters", **self.counters())
         _ignore_signals(loop)
 
--- /dev/null
+++ b/harriertide/engine/memory_monitor.py
@@ -0,0 +1,72 @@
+"""Measures the memory of the process, as a platform counts it, against its limit."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from harriertide.engine.log import log
+
+STATUS_FILE = Path("/proc/self/status")
+COUNTED_ROWS = ("RssAnon:", "RssShmem:")  # neither mapped files nor what the kernel holds for sockets
+SAMPLE_INTERVAL_S = 0.05
+LOGGED_RATIOS = (0.8, 0.9, 0.95)  # of the limit: a line each time one of them is passed
+KIB = 1024
+
+
+def read_process_memory_bytes() -> int:
+    """Return the anonymous and shared memory of this process; 0 where the system does not tell."""
+    try:
+        rows = STATUS_FILE.read_text(encoding="ascii").splitlines()
+    except OSError:
+        return 0
+    return sum(int(row.split()[1]) * KIB for row in rows if row.startswith(COUNTED_ROWS))
+
+
+class MemoryMonitor:
+    """Samples the memory of the process, and logs what it holds as the limit comes near.
+
+    :param limit_bytes: the configured limit
+    :param read_held: returns what is held for clients and nodes, by the name of its owner
+    :ivar counts: `kib` (the last sample), `peak_kib`, `limit_kib`
+    """
+
+    def __init__(self, limit_bytes: int, read_held: Callable[[], Mapping[str, int]]) -> None:
+        self.counts: Counter[str] = Counter()
+        self._read_held = read_held
+        self._logged_ratio = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self.apply_limit(limit_bytes)
+
+    def apply_limit(self, limit_bytes: int) -> None:
+        """Compare later samples with another limit."""
+        self.limit_bytes = limit_bytes
+        self.counts["limit_kib"] = limit_bytes // KIB
+
+    def start(self) -> None:
+        """Take a sample now, and one every SAMPLE_INTERVAL_S from now on."""
+        self._sample()
+
+    def close(self) -> None:
+        """Take no more samples."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _sample(self) -> None:
+        self.record(read_process_memory_bytes())
+        self._timer = self._loop.call_at(self._loop.time() + SAMPLE_INTERVAL_S, self._sample)
+
+    def record(self, memory_bytes: int) -> None:
+        """Take in one sample."""
+        self.counts["kib"] = memory_bytes // KIB
+        self.counts["peak_kib"] = max(self.counts["peak_kib"], self.counts["kib"])
+        passed = [ratio for ratio in LOGGED_RATIOS if memory_bytes > ratio * self.limit_bytes]
+        passed_ratio = max(passed, default=0.0)
+        if passed_ratio > self._logged_ratio:
+            held = {f"held_{owner}": count for owner, count in self._read_held().items()}
+            log("memory is short", kib=self.counts["kib"], limit_kib=self.counts["limit_kib"], **held)
+        self._logged_ratio = passed_ratio
--- a/harriertide/http/connection_table.py
+++ b/harriertide/http/connection_table.py
@@ -70,6 +70,12 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_state.values()))
 
+    def unsent_bytes(self) -> int:
+        """Return the number of response bytes that wait for their clients to read, of all connections."""
+        return sum(
+            connection.unsent_bytes() for connections in self._by_state.values() for connection in connections
+        )
+
     def in_state(self, state: ConnectionState) -> list[ClientConnection]:
         """Return the connections in one state, the longest in it first."""
         return list(self._by_state[state])
--- a/harriertide/http/limits.py
+++ b/harriertide/http/limits.py
@@ -32,6 +32,7 @@
 class Limits:
     """The connection and memory limits of one process.
 
+    :param memory_bytes: all memory that the process may use
     :param max_client_connections: open at the same time on all listeners
     :param max_node_connections: open at the same time to all storage nodes
     :param max_response_bytes: maximum size of one fully buffered node response
@@ -39,6 +40,7 @@
     :param max_buffered_request_bytes: maximum total size of request bodies buffered for attempts and retries
     """
 
+    memory_bytes: int
     max_client_connections: int
     max_node_connections: int
     max_response_bytes: int
@@ -48,6 +50,7 @@
     def split(self, max_client_connections: int, max_node_connections: int) -> Limits:
         """Return the limits for one of a broker's two processes: these connections, and half the memory."""
         return Limits(
+            memory_bytes=self.memory_bytes,
             max_client_connections=max_client_connections,
             max_node_connections=max_node_connections,
             max_response_bytes=self.max_response_bytes,
@@ -73,6 +76,7 @@
         buffer_bytes = max(MIN_BUFFER_MEMORY_MB, memory_mb - OWN_MEMORY_MB) << 20
         response_bytes = buffer_bytes // RESPONSE_MEMORY_DIVISOR
         return cls(
+            memory_bytes=memory_mb << 20,
             max_client_connections=connections - node_connections,
             max_node_connections=node_connections,
             max_response_bytes=min(MAX_RESPONSE_BYTES, max(MIN_RESPONSE_BYTES, response_bytes)),
--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -13,6 +13,7 @@
 
 from harriertide.decide import api
 from harriertide.engine.clock import sleep_until
+from harriertide.engine.repeated_log import RepeatedLog
 from harriertide.engine.runtime import Attempt
 from harriertide.http.body_stream import ResponseRemainder
 from harriertide.http.errors import AttemptFailedError, AttemptWithheldError, NodeFailureError
@@ -92,6 +93,7 @@
         self.counts: Counter[str] = Counter()
         self.pool = NodeConnectionPool(limits, IDLE_TIMEOUT_RATIO * idle_timeout_us / 1_000_000)
         self.connect_us = connect_us
+        self._log = RepeatedLog()
         self._find_address = find_address
 
     async def close(self) -> None:
@@ -136,12 +138,31 @@
                 exchange.response = response
                 yield response
         except TimeoutError:
-            raise exchange.to_failure("timeout", "no complete response before the deadline") from None
-        except (aiohttp.ClientError, HttpProcessingError, OSError):
-            raise exchange.to_failure("reset", "the connection broke") from None
+            raise self._failure(
+                attempt, exchange, "timeout", "no complete response before the deadline"
+            ) from None
+        except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
+            raise self._failure(attempt, exchange, "reset", f"the connection broke: {error!r}") from None
         finally:
             self._release(exchange)
 
+    def _failure(
+        self, attempt: Attempt, exchange: _Exchange, outcome: api.OutcomeKind, reason: str
+    ) -> AttemptFailedError:
+        """Return the error for an exchange that has failed, and log why it failed."""
+        failure = exchange.to_failure(outcome, reason)
+        self.counts[f"failed_{failure.outcome}"] += 1
+        self._log(
+            failure.outcome,
+            "attempt failed",
+            request=attempt.request_id,
+            attempt=attempt.number,
+            node=attempt.node_id,
+            outcome=failure.outcome,
+            reason=failure.reason,
+        )
+        return failure
+
     async def _acquire(
         self, exchange: _Exchange, address: str, attempt: Attempt, timeout: asyncio.Timeout
     ) -> NodeConnection:
--- a/harriertide/http/node_pool.py
+++ b/harriertide/http/node_pool.py
@@ -26,7 +26,7 @@
         self._loop = asyncio.get_running_loop()
         self._connections: set[NodeConnection] = set()
         self._connecting_count = 0
-        self._buffered_bytes = 0  # reserved for all responses
+        self.buffered_bytes = 0  # reserved for all responses
         self._idle: dict[NodeConnection, None] = {}  # longest idle first
         self._idle_by_address: dict[str, list[NodeConnection]] = {}  # longest idle first
         self._active: dict[str, NodeConnection] = {}  # by request ID
@@ -49,14 +49,14 @@
 
     def reserve(self, connection: NodeConnection, size: int) -> bool:
         """Reserve memory for a response until its connection is released; False above the limit."""
-        if self._buffered_bytes + size > self.max_buffered_bytes:
+        if self.buffered_bytes + size > self.max_buffered_bytes:
             return False
         connection.buffered_bytes += size
-        self._buffered_bytes += size
+        self.buffered_bytes += size
         return True
 
     def _return_memory(self, connection: NodeConnection) -> None:
-        self._buffered_bytes -= connection.buffered_bytes
+        self.buffered_bytes -= connection.buffered_bytes
         connection.buffered_bytes = 0
 
     # --- connections for requests --------------------------------------------------------------
--- a/harriertide/lab/experiments/duplicate_attempts.py
+++ b/harriertide/lab/experiments/duplicate_attempts.py
@@ -53,6 +53,7 @@
 CONNECT_TIMEOUT_US = 500_000
 IDLE_TIMEOUT_US = 5_000_000
 MAX_ATTEMPTS = 4
+MEMORY_BYTES = 256 << 20  # of the client; nothing here comes near it
 CANCEL_PROBABILITY = 0.002  # of a timer that cancels all open attempts, at each decision
 CANCEL_AFTER_US = 1_000
 
@@ -152,6 +153,7 @@
     core = Reducer(settings, seed, EagerScheduler)
     runtime = Runtime(core, Clock(asyncio.get_running_loop()))
     limits = Limits(
+        memory_bytes=MEMORY_BYTES,
         max_client_connections=1,
         max_node_connections=4 * width,
         max_response_bytes=65536,
