End an attempt whose client has not sent its body without blaming the node

Callers: while hundreds of clients wrote long bodies slowly or stopped, all nodes were ejected at once and others got 503. Cause: _Exchange.to_failure took every exchange that was not written out for connect_failed, also where the broker waited for the client's body; that weighs as three failures and ejects a node. Why it works: the writer of a streamed body records whom it waits for; 'withheld' says nothing of the node. A node that does not read, or closes, counts as before.

--- a/harriertide/decide/api/events.py
+++ b/harriertide/decide/api/events.py
@@ -75,8 +75,8 @@
 # response was malformed, or did not end in time. rejected: the node takes no more requests at present.
 # timeout, connect_failed, reset: the connection brought no answer. cancelled: by this broker. not_sent:
 # nothing was sent, or the node says that the request has expired or belongs to another node; another attempt
-# there would not help. withheld: nothing was sent, for a reason that does not concern the node; another
-# attempt may help.
+# there would not help. withheld: nothing was sent, or not all of the request, for a reason that does not
+# concern the node; another attempt may help.
 OutcomeKind: TypeAlias = Literal[
     "ok",
     "error",
--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -38,20 +38,24 @@
     :param is_sent: the request, or the first part of it, was written
     :param response: the response, once its head was read
     :param body_task: writes the rest of a streamed body
+    :param awaits_body: the writer of a streamed body waits for more of it, not for the node
     """
 
     connection: NodeConnection | None = None
     is_sent: bool = False
     response: IncomingResponse | None = None
     body_task: asyncio.Task[None] | None = None
+    awaits_body: bool = False
 
-    def to_failure(self, outcome: api.OutcomeKind, reason: str) -> NodeFailureError:
+    def to_failure(self, outcome: api.OutcomeKind, reason: str) -> AttemptFailedError:
         """Return the error for an exchange that was interrupted or timed out.
 
         A node executes a request only after its last byte, so a request that was not fully written never ran.
         A response that is malformed, or not complete in time, still shows that the node is alive.
         """
         connection = self.connection
+        if self._is_unfinished_by_client(outcome):
+            return AttemptWithheldError("withheld", "the client has not sent the whole body")
         if connection is not None and connection.is_malformed:
             return NodeFailureError("incomplete", "malformed response")
         if connection is not None and outcome == "timeout" and connection.has_partial_response:
@@ -60,6 +64,13 @@
             return NodeFailureError("connect_failed", f"{reason} before the request was written out")
         return NodeFailureError(outcome, reason)
 
+    def _is_unfinished_by_client(self, outcome: api.OutcomeKind) -> bool:
+        """Whether the exchange failed because its streamed body did not come in time, or broke off."""
+        task = self.body_task
+        if task is None or not self.awaits_body:
+            return False
+        return outcome == "timeout" or (task.done() and not task.cancelled() and task.exception() is not None)
+
     def _is_written_out(self, connection: NodeConnection) -> bool:
         """Whether the kernel has accepted all bytes of the request."""
         task = self.body_task
@@ -131,7 +142,7 @@
                 self.pool.mark_active(connection, attempt.request_id)
                 exchange.is_sent = True
                 if not isinstance(body, bytes):
-                    body_writer = self._write_body(connection, body, attempt)
+                    body_writer = self._write_body(exchange, connection, body, attempt)
                     exchange.body_task = asyncio.get_running_loop().create_task(body_writer)
                 message, content = await connection.read()
                 response = IncomingResponse(message.code, message.headers, content, connection)
@@ -231,12 +242,16 @@
             await asyncio.wait([closed])
 
     async def _write_body(
-        self, connection: NodeConnection, body: AsyncIterator[bytes], attempt: Attempt
+        self, exchange: _Exchange, connection: NodeConnection, body: AsyncIterator[bytes], attempt: Attempt
     ) -> None:
         """Write the rest of a streamed request body."""
         try:
+            exchange.awaits_body = True
             async for chunk in body:
+                exchange.awaits_body = False
                 await connection.send_body_chunk(chunk)
+                exchange.awaits_body = True
+            exchange.awaits_body = False
             await connection.flush()
             attempt.body_written_us = attempt.runtime.clock.now_us()
         except BaseException:
