Don't count errors of this machine against nodes: repeat the connect, then withhold

Callers: on a machine short of descriptors, buffers or ports healthy nodes were ejected at once, others got 503 for no_node. Cause: each OSError of a connect became connect_failed, with the weight of three failures. The incident's own ejections were not of this kind: its log lines show unfinished bodies. Why it works: errnos that say nothing of a peer are listed once; such a connect is repeated within its attempt, which has not run, and ends as 'withheld' if the shortage lasts.

--- a/harriertide/http/node_client.py
+++ b/harriertide/http/node_client.py
@@ -18,6 +18,7 @@
 from harriertide.http.body_stream import ResponseRemainder
 from harriertide.http.errors import AttemptFailedError, AttemptWithheldError, NodeFailureError
 from harriertide.http.limits import Limits
+from harriertide.http.local_errors import describe, is_local
 from harriertide.http.node_connection import MAX_FORWARDED_RESPONSE_BYTES, NodeConnection
 from harriertide.http.node_pool import NodeConnectionPool
 from harriertide.http.node_response import IncomingResponse, Reply, classify_response
@@ -28,6 +29,8 @@
 # node closes the connection would end in a reset.
 IDLE_TIMEOUT_RATIO = 0.5
 MAX_BODY_BYTES = 64 * 1024  # of a response, unless the caller sets another limit
+LOCAL_RETRY_DELAY_S = 0.02  # between connects while this machine lacks a resource for them
+LOCAL_RETRY_RATIO = 0.5  # fraction of the connect timeout for which they are repeated
 
 
 @dataclass(slots=True)
@@ -153,7 +156,9 @@
                 attempt, exchange, "timeout", "no complete response before the deadline"
             ) from None
         except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
-            raise self._failure(attempt, exchange, "reset", f"the connection broke: {error!r}") from None
+            raise self._failure(
+                attempt, exchange, "reset", f"the connection broke: {describe(error)}"
+            ) from None
         finally:
             self._release(exchange)
 
@@ -209,7 +214,7 @@
     async def _connect(self, address: str, timeout: asyncio.Timeout) -> NodeConnection:
         """Open a new connection within the connect timeout."""
         with self._silence_ends(timeout):
-            connection = await self.pool.connect(address)
+            connection = await self._connect_despite_local_errors(address)
         if connection is None:
             # The outcome is `rejected`: the node is not at fault, so this must not count against its health.
             self.counts["no_room"] += 1
@@ -217,6 +222,27 @@
         self.counts["connected"] += 1
         return connection
 
+    async def _connect_despite_local_errors(self, address: str) -> NodeConnection | None:
+        """Open a connection, and try again for a while if this machine lacks a resource for it.
+
+        :returns: None if the connection limit is reached
+        :raises AttemptWithheldError: the resource did not become free; the node is not at fault
+        :raises OSError: the node, or the path to it, failed
+        """
+        loop = asyncio.get_running_loop()
+        retry_until_s = loop.time() + LOCAL_RETRY_RATIO * self.connect_us / 1e6
+        while True:
+            try:
+                return await self.pool.connect(address)
+            except OSError as error:
+                if not is_local(error):
+                    raise
+                self.counts["local_connect_errors"] += 1
+                self._log("local error", "cannot connect for now", address=address, reason=describe(error))
+                if loop.time() + LOCAL_RETRY_DELAY_S > retry_until_s:
+                    raise AttemptWithheldError("withheld", describe(error)) from None
+            await sleep_until(loop.time() + LOCAL_RETRY_DELAY_S)
+
     @contextmanager
     def _silence_ends(self, timeout: asyncio.Timeout) -> Iterator[None]:
         """Let a timeout expire if a node does not answer within the connect timeout."""
@@ -277,7 +303,9 @@
                     await content.read()
         except TimeoutError:
             return "timeout"
-        except (aiohttp.ClientError, HttpProcessingError, OSError):
+        except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
+            if is_local(error):
+                return "withheld"
             return "reset" if connection is not None else "connect_failed"
         finally:
             if connection is not None:
