Count all that clients make a process hold against its memory, and refuse what has no room

Callers: hundreds of slow, stopped or endless clients took a process over its memory limit; it was killed, its successor at once. Cause: each mechanism had a bound of its own or none. 512 KiB read ahead for each stream (a library's default), bodies of 64 KiB past the budget, heads as a whole, fields that idle connections kept, connections themselves, 44 and 16 MB taken for granted of 32. Tests changed: the budget's test allowed small bodies past the budget, which was the fault; its successor lets none past. The fixture of an exhausted budget counts as before.

--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -28,11 +28,11 @@
 from harriertide.engine.counters import counter_fields
 from harriertide.engine.log import capture_library_logs, log
 from harriertide.engine.loop_monitor import LoopMonitor, monitored_loop
-from harriertide.engine.memory_monitor import MemoryMonitor
+from harriertide.engine.memory_monitor import MemoryMonitor, read_process_memory_bytes
 from harriertide.engine.runtime import Runtime
-from harriertide.http.body_stream import BodyBudget
+from harriertide.http.buffer_budget import BufferBudget
 from harriertide.http.connection_table import ConnectionTable
-from harriertide.http.limits import read_limits
+from harriertide.http.limits import Limits, read_limits
 from harriertide.http.node_client import NodeClient
 from harriertide.lifecycle.machine import Lifecycle
 from harriertide.platform.configuration import Config, read_config
@@ -105,8 +105,9 @@
         self.directory = EndpointDirectory(names.zones)
         self.clients = ConnectionTable(limits)
         self.client = NodeClient(self._find_node_address, names.connect_us, names.idle_us, limits)
-        self.bodies = BodyBudget(limits.max_buffered_request_bytes)
-        self.memory = MemoryMonitor(limits.memory_bytes, self.held_memory)
+        self.bodies = BufferBudget(limits.max_buffered_request_bytes)
+        self.own_memory_bytes = 0  # measured once the process is composed
+        self.memory = MemoryMonitor(limits.memory_bytes, self.held_memory, self._on_memory_short)
         self.front = Front(self.runtime, self.client, names, self.bodies)
         self.probes = Probes(self.client, self.runtime.post)
         self.runtime.start_probe = self.probes.start
@@ -161,6 +162,11 @@
             return self.config.settings
         return self.config.settings.superseded()
 
+    def limits_in_force(self) -> Limits:
+        """The limits of the configuration, less what this process was measured to need for itself."""
+        assert self.config is not None, "only a platform's limits change"
+        return self.config.limits.with_own_memory(self.own_memory_bytes)
+
     def apply_lifecycle(self) -> None:
         """Have all parts go by the lifecycle as it is now, in the same turn of the loop."""
         self.front.ready = self.lifecycle.is_healthy
@@ -169,8 +175,7 @@
 
     def apply_limits(self) -> None:
         """Have both sides' connections go by the limits; two processes of one broker share them."""
-        assert self.config is not None, "only a platform's limits change"
-        limits = self.config.limits
+        limits = self.limits_in_force()
         if self.in_place_upgrade is not None:
             limits = self.in_place_upgrade.share(limits)
         self.client.pool.apply_limits(limits)
@@ -189,6 +194,19 @@
             "unsent_bytes": self.clients.unsent_bytes(),
         }
 
+    def _on_memory_short(self, is_short: bool) -> None:
+        """Free what only the garbage collector can, and take in no more than one large request at a time."""
+        if is_short:
+            gc.collect()
+        self.bodies.is_short = is_short
+
+    def _measure_own_memory(self) -> None:
+        """Give connections and buffers what is left beside this process, whose list of nodes may be long."""
+        if self.config is None:
+            return
+        self.own_memory_bytes = read_process_memory_bytes()
+        self.apply_limits()
+
     def counters(self) -> dict[str, int]:
         """All counters, as `part.name`."""
         parts = {
@@ -271,6 +289,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, self._log_counters)
+        self._measure_own_memory()
         await self.start()
         loop.add_signal_handler(signal.SIGHUP, self.reload, environment)
         if early_reloads.are_awaited:  # only now: a start goes by the configuration that it began with
--- a/harriertide/cli/in_place_upgrade.py
+++ b/harriertide/cli/in_place_upgrade.py
@@ -66,6 +66,9 @@
     def apply_limits(self) -> None:
         """Apply this process's share of the limits to the connections of clients and to nodes."""
 
+    def limits_in_force(self) -> Limits:
+        """Return the configured limits, less what this process was measured to need for itself."""
+
     def settings_in_force(self) -> api.Settings:
         """Return the configured settings, less what a newer process of this broker now provides."""
 
@@ -299,9 +302,7 @@
             self._process.apply_limits()
 
     def _limits(self) -> Limits:
-        config = self._process.config
-        assert config is not None, "only the platform upgrades in place"
-        return config.limits
+        return self._process.limits_in_force()
 
     def _kept_client_count(self) -> int:
         """Return the number of client connections, including accepted ones not yet in the table."""
--- a/harriertide/engine/memory_monitor.py
+++ b/harriertide/engine/memory_monitor.py
@@ -13,6 +13,7 @@
 COUNTED_ROWS = ("RssAnon:", "RssShmem:")  # neither mapped files nor what the kernel holds for sockets
 SAMPLE_INTERVAL_S = 0.05
 LOGGED_RATIOS = (0.8, 0.9, 0.95)  # of the limit: a line each time one of them is passed
+SHORT_RATIO = 0.95  # of the limit: above it, the process takes in only what it must
 KIB = 1024
 
 
@@ -30,12 +31,20 @@
 
     :param limit_bytes: the configured limit
     :param read_held: returns what is held for clients and nodes, by the name of its owner
+    :param on_short: called with whether memory is short, each time that changes
     :ivar counts: `kib` (the last sample), `peak_kib`, `limit_kib`
     """
 
-    def __init__(self, limit_bytes: int, read_held: Callable[[], Mapping[str, int]]) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        read_held: Callable[[], Mapping[str, int]],
+        on_short: Callable[[bool], None],
+    ) -> None:
         self.counts: Counter[str] = Counter()
         self._read_held = read_held
+        self._on_short = on_short
+        self._is_short = False
         self._logged_ratio = 0.0
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
@@ -70,3 +79,8 @@
             held = {f"held_{owner}": count for owner, count in self._read_held().items()}
             log("memory is short", kib=self.counts["kib"], limit_kib=self.counts["limit_kib"], **held)
         self._logged_ratio = passed_ratio
+        is_short = memory_bytes > SHORT_RATIO * self.limit_bytes
+        if is_short != self._is_short:
+            self._is_short = is_short
+            self.counts["short"] += is_short
+            self._on_short(is_short)
--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import traceback
 from collections.abc import Callable
 from contextvars import Context
@@ -101,7 +102,8 @@
         self._posted: list[ev.Event] = []
         self._jobs: dict[str, Job] = {}
         self._attempt_tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self._timers: set[asyncio.TimerHandle] = set()
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self._timer_keys = itertools.count()
         self._effect_handlers: dict[type, Callable[[Any], None]] = {
             ev.StartAttempt: self._start_attempt,
             ev.CancelAttempt: self._cancel_attempt,
@@ -167,7 +169,7 @@
         while (self._attempt_tasks or self._posted) and self._loop.time() < deadline_s:
             await sleep_until(min(deadline_s, self._loop.time() + CLOSE_POLL_INTERVAL_S))
         self._is_closed = True
-        for timer in self._timers:
+        for timer in self._timers.values():
             timer.cancel()
         self._timers.clear()
 
@@ -242,12 +244,13 @@
         job.respond(effect)
 
     def _set_timer(self, effect: ev.SetTimer) -> None:
-        def fire() -> None:
-            self._timers.discard(timer)
-            self.post(ev.TimerFired(effect.token))
+        key = next(self._timer_keys)
+        at_s = self.clock.loop_time(effect.at_us)
+        self._timers[key] = self._loop.call_at(at_s, self._on_timer, key, effect.token)
 
-        timer = self._loop.call_at(self.clock.loop_time(effect.at_us), fire)
-        self._timers.add(timer)
+    def _on_timer(self, key: int, token: int) -> None:
+        del self._timers[key]
+        self.post(ev.TimerFired(token))
 
     def _send_peer_message(self, effect: ev.SendPeerMessage) -> None:
         self.send_peer_message(effect.recipient_index, effect.body)
--- a/harriertide/http/body_stream.py
+++ b/harriertide/http/body_stream.py
@@ -1,4 +1,4 @@
-"""Streamed bodies, and the memory budget of buffered request bodies.
+"""Streamed bodies.
 
 Reading pauses while the other side does not accept the data, so that only a bounded part of a body is in
 memory.
@@ -53,28 +53,3 @@
         self._connection = None
         if connection is not None:
             self._pool.release(connection)
-
-
-class BodyBudget:
-    """The memory budget of request bodies that are buffered for retries.
-
-    :param limit_bytes: maximum total size of the bodies
-    """
-
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes = limit_bytes
-        self.reserved_bytes = 0
-
-    def reserve(self, size: int, may_exceed: bool = False) -> bool:
-        """Reserve bytes in the budget; False if they do not fit.
-
-        :param may_exceed: reserve the bytes even if they do not fit
-        """
-        if self.reserved_bytes + size > self.limit_bytes and not may_exceed:
-            return False
-        self.reserved_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Return reserved bytes to the budget."""
-        self.reserved_bytes -= size
--- a/harriertide/http/client_connection.py
+++ b/harriertide/http/client_connection.py
@@ -39,6 +39,9 @@
     def set_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Move a connection to another state."""
 
+    def close_unread(self) -> None:
+        """Close connections whose clients do not read, if too much output waits for all clients."""
+
 
 class ClientConnection(RequestHandler):
     """aiohttp's handler of one connection, which reports its state to the connection table.
--- a/harriertide/http/connection_table.py
+++ b/harriertide/http/connection_table.py
@@ -64,7 +64,7 @@
     def apply_limits(self, limits: Limits) -> None:
         """Apply new limits to later admissions and sweeps."""
         self.max_connections = limits.max_client_connections
-        self.max_unsent_bytes = limits.max_buffered_response_bytes
+        self.max_unsent_bytes = limits.max_unsent_bytes
         self.accept_control.resume_if_room()
 
     def __len__(self) -> int:
@@ -168,7 +168,7 @@
         count = len(self)
         if not count:
             return
-        self._close_unread()
+        self.close_unread()
         self._close_overdue("silent", None, count)
         self._close_overdue("reading", None, count)
         self._close_overdue("lingering", LINGER_TIMEOUT_S, count)
@@ -179,7 +179,7 @@
             self._close_overdue("silent", RETIRE_SILENT_TIMEOUT_S, count)
         self._sweep_timer = self._loop.call_at(self._loop.time() + SWEEP_INTERVAL_S, self._sweep)
 
-    def _close_unread(self) -> None:
+    def close_unread(self) -> None:
         """Close the connections with the longest unread responses until the rest fit the memory limit."""
         unread = [
             connection
--- a/harriertide/http/limits.py
+++ b/harriertide/http/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import resource
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from harriertide.decide.settings import SettingsSection
 
@@ -15,53 +15,105 @@
 SPARE_DESCRIPTOR_RATIO = 0.1
 NODE_CONNECTION_RATIO = 0.35  # fraction of the remaining descriptors for connections to nodes
 MIN_CONNECTION_COUNT = 16  # to clients and nodes together, however few descriptors are available
+MIN_CLIENT_CONNECTIONS = 11  # however little memory or few descriptors are available
+MIN_NODE_CONNECTIONS = 5
 MIN_SOCKETS = 64  # lowest value of the `sockets` setting; fewer leave none for connections
 DEFAULT_SOCKETS = 1024
 DEFAULT_MEMORY_MB = 256
-OWN_MEMORY_MB = 44  # interpreter, core and connection objects, with a margin
-MIN_BUFFER_MEMORY_MB = 16
+OWN_MEMORY_MB = 27  # interpreter, modules and core, before the first connection
+# Memory of one connection: its objects, and those of an ordinary request and its attempt.
+CLIENT_CONNECTION_BYTES = 16 * 1024
+NODE_CONNECTION_BYTES = 12 * 1024
+CONNECTION_MEMORY_RATIO = 0.5  # of the memory beside OWN_MEMORY_MB: where it is little, it limits connections
+# Of the memory beside the process itself and its connections; the rest is a margin for what is not counted.
+BUFFER_MEMORY_RATIO = 0.75
+BUFFER_KIND_COUNT = 3  # requests, responses of nodes, and output that clients have not read get equal parts
+MIN_BUFFER_BYTES = 128 * 1024  # of each kind, however little memory there is
 # A fully buffered response may use a 16th of the buffer memory, within these bounds.
 RESPONSE_MEMORY_DIVISOR = 16
 MIN_RESPONSE_BYTES = 1 << 20
 MAX_RESPONSE_BYTES = 8 << 20
-# Responses and requests each get a third of the buffer memory; the last third is a margin.
-BUFFER_MEMORY_DIVISOR = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """The connection and memory limits of one process.
+    """The connection and memory limits of one process. Together they stay within its memory.
 
-    :param memory_bytes: all memory that the process may use
+    :param memory_bytes: all memory that the broker may use
+    :param own_memory_bytes: what the process needs before its first connection
+    :param process_count: of the broker's processes that share the memory: two while one upgrades the other
     :param max_client_connections: open at the same time on all listeners
     :param max_node_connections: open at the same time to all storage nodes
-    :param max_response_bytes: maximum size of one fully buffered node response
-    :param max_buffered_response_bytes: maximum total size of buffered responses, for nodes and clients each
-    :param max_buffered_request_bytes: maximum total size of request bodies buffered for attempts and retries
+    :param connection_bytes: memory of all connections of the broker, in all its processes
     """
 
     memory_bytes: int
+    own_memory_bytes: int
+    process_count: int
     max_client_connections: int
     max_node_connections: int
-    max_response_bytes: int
-    max_buffered_response_bytes: int
-    max_buffered_request_bytes: int
+    connection_bytes: int = 0
+
+    @property
+    def max_buffer_bytes(self) -> int:
+        """Maximum memory of each kind of buffers in this process."""
+        rest_bytes = self.memory_bytes - self.process_count * self.own_memory_bytes - self.connection_bytes
+        share_bytes = BUFFER_MEMORY_RATIO * rest_bytes / self.process_count / BUFFER_KIND_COUNT
+        return max(MIN_BUFFER_BYTES, int(share_bytes))
+
+    @property
+    def max_buffered_request_bytes(self) -> int:
+        """Maximum memory for requests beyond what is counted for each connection."""
+        return self.max_buffer_bytes
+
+    @property
+    def max_buffered_response_bytes(self) -> int:
+        """Maximum total size of buffered responses of nodes."""
+        return self.max_buffer_bytes
+
+    @property
+    def max_unsent_bytes(self) -> int:
+        """Maximum total size of responses that clients have not read."""
+        return self.max_buffer_bytes
+
+    @property
+    def max_response_bytes(self) -> int:
+        """Maximum size of one fully buffered response of a node."""
+        share_bytes = BUFFER_KIND_COUNT * self.max_buffer_bytes // RESPONSE_MEMORY_DIVISOR
+        return min(MAX_RESPONSE_BYTES, max(MIN_RESPONSE_BYTES, share_bytes))
 
     def split(self, max_client_connections: int, max_node_connections: int) -> Limits:
         """Return the limits for one of a broker's two processes: these connections, and half the memory."""
-        return Limits(
-            memory_bytes=self.memory_bytes,
+        return replace(
+            self,
+            process_count=2,
             max_client_connections=max_client_connections,
             max_node_connections=max_node_connections,
-            max_response_bytes=self.max_response_bytes,
-            max_buffered_response_bytes=self.max_buffered_response_bytes // 2,
-            max_buffered_request_bytes=self.max_buffered_request_bytes // 2,
         )
 
     def half(self) -> Limits:
         """Return half of all limits, for a process beside another one whose limits are unknown."""
         return self.split(self.max_client_connections // 2, self.max_node_connections // 2)
 
+    def with_own_memory(self, own_memory_bytes: int) -> Limits:
+        """Return the limits for a process that was measured to need so much for itself."""
+        return self.for_memory(max(self.own_memory_bytes, own_memory_bytes))
+
+    def for_memory(self, own_memory_bytes: int) -> Limits:
+        """Return the limits with fewer connections where the memory has no room for all of them."""
+        available_bytes = CONNECTION_MEMORY_RATIO * (self.memory_bytes - own_memory_bytes)
+        wanted_bytes = _connection_bytes(self.max_client_connections, self.max_node_connections)
+        ratio = max(0.0, min(1.0, available_bytes / wanted_bytes))
+        clients = max(MIN_CLIENT_CONNECTIONS, int(ratio * self.max_client_connections))
+        nodes = max(MIN_NODE_CONNECTIONS, int(ratio * self.max_node_connections))
+        return replace(
+            self,
+            own_memory_bytes=own_memory_bytes,
+            max_client_connections=clients,
+            max_node_connections=nodes,
+            connection_bytes=_connection_bytes(clients, nodes),
+        )
+
     @classmethod
     def from_resources(cls, sockets: int, memory_mb: int, reserved: int = 0) -> Limits:
         """Divide the available descriptors and memory.
@@ -73,16 +125,18 @@
         available = (sockets - OWN_DESCRIPTOR_COUNT - reserved) * (1 - SPARE_DESCRIPTOR_RATIO)
         connections = max(MIN_CONNECTION_COUNT, int(available))
         node_connections = int(connections * NODE_CONNECTION_RATIO)
-        buffer_bytes = max(MIN_BUFFER_MEMORY_MB, memory_mb - OWN_MEMORY_MB) << 20
-        response_bytes = buffer_bytes // RESPONSE_MEMORY_DIVISOR
-        return cls(
+        limits = cls(
             memory_bytes=memory_mb << 20,
+            own_memory_bytes=OWN_MEMORY_MB << 20,
+            process_count=1,
             max_client_connections=connections - node_connections,
             max_node_connections=node_connections,
-            max_response_bytes=min(MAX_RESPONSE_BYTES, max(MIN_RESPONSE_BYTES, response_bytes)),
-            max_buffered_response_bytes=buffer_bytes // BUFFER_MEMORY_DIVISOR,
-            max_buffered_request_bytes=buffer_bytes // BUFFER_MEMORY_DIVISOR,
         )
+        return limits.for_memory(limits.own_memory_bytes)
+
+
+def _connection_bytes(client_count: int, node_count: int) -> int:
+    return client_count * CLIENT_CONNECTION_BYTES + node_count * NODE_CONNECTION_BYTES
 
 
 def read_limits(section: SettingsSection | None = None, reserved: int = 0) -> Limits:
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -43,10 +43,10 @@
 FIRST_PART_BYTES = 64 * 1024
 
 
-def limit_read_size(transport: asyncio.BaseTransport) -> None:
-    """Limit the event loop's reads to SOCKET_READ_BYTES; asyncio's default is eight times as much."""
-    if hasattr(transport, "max_size"):  # only asyncio's socket transports have it
-        transport.max_size = SOCKET_READ_BYTES
+def limit_read_size(transport: asyncio.BaseTransport | None, size_bytes: int = SOCKET_READ_BYTES) -> None:
+    """Limit the event loop's reads from a connection; asyncio's default is 256 KiB."""
+    if transport is not None and hasattr(transport, "max_size"):  # only asyncio's socket transports have it
+        transport.max_size = size_bytes
 
 
 class ConnectionOwner(Protocol):
--- a/harriertide/lab/experiments/duplicate_attempts.py
+++ b/harriertide/lab/experiments/duplicate_attempts.py
@@ -39,7 +39,7 @@
 from harriertide.engine.clock import Clock
 from harriertide.engine.runtime import Attempt, AttemptResult, Runtime
 from harriertide.http.errors import AttemptFailedError
-from harriertide.http.limits import Limits
+from harriertide.http.limits import OWN_MEMORY_MB, Limits
 from harriertide.http.node_client import NodeClient
 from harriertide.http.node_response import classify_response
 from harriertide.lab.rigs.late_reading_nodes import NODE_COUNT, LateReadingNodes
@@ -154,11 +154,10 @@
     runtime = Runtime(core, Clock(asyncio.get_running_loop()))
     limits = Limits(
         memory_bytes=MEMORY_BYTES,
+        own_memory_bytes=OWN_MEMORY_MB << 20,
+        process_count=1,
         max_client_connections=1,
         max_node_connections=4 * width,
-        max_response_bytes=65536,
-        max_buffered_response_bytes=1 << 24,
-        max_buffered_request_bytes=1 << 24,
     )
     addresses = {f"n{index}": f"127.0.0.1:{port}" for index, port in enumerate(ports)}
     client = NodeClient(addresses.get, CONNECT_TIMEOUT_US, IDLE_TIMEOUT_US, limits)
--- a/harriertide/lab/rigs/hostile_clients.py
+++ b/harriertide/lab/rigs/hostile_clients.py
@@ -1,8 +1,14 @@
-"""Clients that hold a broker's memory or time: slow, stopped, endless or unread, hundreds at once."""
+"""Clients that hold a broker's memory or time: slow, stopped, endless or unread, hundreds at once.
+
+They run in a process of their own, so that they take no time from the honest clients of the rig:
+python -m harriertide.lab.rigs.hostile_clients HOST PORT FORM COUNT SECONDS
+"""
 
 from __future__ import annotations
 
 import asyncio
+import json
+import sys
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
@@ -159,3 +165,28 @@
         self.statuses[line.decode("latin-1")[9:12]] += 1
         while await reader.read(PIECE_BYTES):
             pass
+
+
+async def run_hostile_process(
+    address: tuple[str, int], form: HostileForm, count: int, duration_s: float
+) -> Counter[str]:
+    """Play hostile clients in a process of their own; return how often each status was received."""
+    words = (address[0], str(address[1]), form, str(count), str(duration_s))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", __name__, *words, stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await process.communicate()
+    return Counter(json.loads(output))
+
+
+def main(words: list[str]) -> None:
+    """Play the clients that the command line names, and print their statuses as JSON."""
+    host, port, form, count, duration_s = words
+    (known_form,) = [each for each in _WRITERS if each == form]
+    clients = HostileClients((host, int(port)), known_form)
+    asyncio.run(clients.play(int(count), float(duration_s)))
+    print(json.dumps(clients.statuses))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/harriertide/lab/rigs/overload_run.py
+++ b/harriertide/lab/rigs/overload_run.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from harriertide.engine.clock import sleep_until
-from harriertide.lab.rigs.hostile_clients import HostileClients, HostileForm
+from harriertide.lab.rigs.hostile_clients import HostileForm, run_hostile_process
 from harriertide.lab.rigs.memory_sampler import MemorySampler, read_memory_mib
 from harriertide.lab.rigs.single_broker import SingleBrokerRig
 
@@ -96,9 +96,9 @@
     stop = asyncio.Event()
     honest = asyncio.create_task(rig.clients.offer(stop))
     await sleep_until(loop.time() + SETTLE_S)
-    hostile = HostileClients(rig.address, case.form)
-    await hostile.play(case.client_count, case.duration_s)
-    result.hostile_statuses = hostile.statuses
+    result.hostile_statuses = await run_hostile_process(
+        rig.address, case.form, case.client_count, case.duration_s
+    )
     stop.set()
     await honest
     await sleep_until(loop.time() + SETTLE_S)
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -18,7 +18,8 @@
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
 
-from harriertide.http.body_stream import BodyBudget, ResponseRemainder
+from harriertide.http.body_stream import ResponseRemainder
+from harriertide.http.buffer_budget import BufferBudget
 from harriertide.http.client_connection import ClientConnection, ConnectionTracker
 from harriertide.http.client_server import MAX_START_LINE_BYTES, TrackedServer
 from harriertide.http.connection_table import ConnectionTable
@@ -27,11 +28,15 @@
 from harriertide.http.node_connection import FORWARD_READ_AHEAD_BYTES, limit_read_size
 from harriertide.http.transfer_coding import check_body_coding
 from harriertide.platform.fields import HeaderFields, read_fields
-from harriertide.platform.request_body import (
-    ALWAYS_BUFFERED_BYTES,
-    RequestBodyBuffer,
-    StreamedRequestBody,
-    declared_length,
+from harriertide.platform.request_body import RequestBodyBuffer, StreamedRequestBody, declared_length
+from harriertide.platform.request_memory import (
+    BODY_READ_BYTES,
+    STREAM_FIRST_PART_BYTES,
+    STREAM_READ_AHEAD_BYTES,
+    BodyPlan,
+    HeadTooLongError,
+    MemoryShortError,
+    RequestMemory,
 )
 from harriertide.platform.response_writer import (
     Framing,
@@ -42,6 +47,8 @@
 )
 
 MIN_UPLOAD_BYTES_PER_S = 32_000  # half the upload rate of the slowest clients
+# Maximum per read while no body is expected: reads of all connections come before any of them is counted.
+HEAD_READ_BYTES = 4 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER enabled with 0 s: close() sends a TCP reset
 
 
@@ -49,7 +56,7 @@
     """Handles the requests that platform connections read."""
 
     counts: Counter[str]
-    bodies: BodyBudget
+    bodies: BufferBudget
     closes_connections: bool
 
     def date(self) -> str:
@@ -68,14 +75,16 @@
     """A connection of a platform client, which handles one request at a time."""
 
     __slots__ = (
-        "_front", "_buffer", "_body", "_closes_after_response", "_message", "_is_reading_body", "_send_task",
-        "request_id", "fields",
+        "_front", "_buffer", "_memory", "_body_plan", "_body", "_closes_after_response", "_message",
+        "_is_reading_body", "_send_task", "request_id", "fields",
     )  # fmt: skip
 
     def __init__(self, server: PlatformServer, table: ConnectionTracker, **options: Any) -> None:
         super().__init__(server, table, max_line_size=MAX_START_LINE_BYTES, auto_decompress=False, **options)
         self._front = server.front
-        self._buffer = RequestBodyBuffer(server.front.bodies)
+        self._buffer = RequestBodyBuffer()
+        self._memory = RequestMemory(server.front.bodies)
+        self._body_plan = BodyPlan.BUFFER
         self._message: RawRequestMessage | None = None  # head of the open request
         self._body: StreamReader | None = None  # unread body of the open request; None after its last byte
         self._is_reading_body = False
@@ -90,7 +99,7 @@
         assert self._manager is not None and isinstance(transport, asyncio.Transport)
         self._manager.connection_made(self, transport)
         transport.set_write_buffer_limits(FORWARD_READ_AHEAD_BYTES)
-        limit_read_size(transport)
+        limit_read_size(transport, HEAD_READ_BYTES)
         self.table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -101,7 +110,7 @@
             self._send_task.cancel()
         if self._body is not None and not self._body.is_eof():
             self._body.set_exception(ConnectionResetError("the client closed the connection"))
-        self._buffer.clear()
+        self._discard_request()
         super().connection_lost(exc)
 
     # --- requests ------------------------------------------------------------------------------
@@ -126,6 +135,9 @@
         if self.state == "busy" and self._body is None:  # the client sent a pipelined request
             self._closes_after_response = True
             return
+        if self.state == "idle" and self.unsent_bytes():  # pipelined too: it has not read the last response
+            self.linger()
+            return
         if self._force_close:
             return
         if self.state == "busy":
@@ -151,7 +163,12 @@
             self.table.set_state(self, "reading")
         assert self._parser is not None
         try:
+            if self._message is None:
+                self._memory.add_head_data(data)
             messages, upgraded, _ = self._parser.feed_data(data)
+        except (HeadTooLongError, MemoryShortError) as error:
+            self._refuse_for(error)
+            return
         except (HttpProcessingError, ValueError):
             self.refuse(400, "the request can't be read")
             return
@@ -174,14 +191,16 @@
             check_body_coding(message)
             length = declared_length(self.fields)
             is_continue_expected = expects_continue(message.headers.getall("Expect", ()), message.version)
+            self._body_plan = self._memory.plan_body(length)
         except RefusedRequestError as error:
-            self.refuse(error.status, str(error))  # the connection is closed without reading the body
+            self._refuse_for(error)  # the connection is closed without reading the body
             return
         if is_continue_expected and not body.is_eof():
             assert self.transport is not None
             self.transport.write(CONTINUE_RESPONSE)
         self._body = body
-        self._buffer.reserve(length)
+        if not body.is_eof():
+            limit_read_size(self.transport, BODY_READ_BYTES)
 
     def _read_body(self, body: StreamReader) -> None:
         """Buffer received data and submit the request once its body is complete or must be streamed."""
@@ -200,15 +219,22 @@
             self._front.handle_request(self, self._message, buffer.take())
         elif buffer.is_too_long():
             self.refuse(413, "the body is too long")
-        elif not self._has_room_for_body() and buffer.received_bytes >= ALWAYS_BUFFERED_BYTES:
+        else:
+            self._stream_body_if_planned(body, self._message)
+
+    def _stream_body_if_planned(self, body: StreamReader, message: RawRequestMessage) -> None:
+        """Submit a request whose body is to be streamed, once its first part has arrived."""
+        buffer = self._buffer
+        try:
+            if self._body_plan is BodyPlan.BUFFER:
+                self._body_plan = self._memory.grow_body(buffer.received_bytes)
+        except MemoryShortError as error:
+            self._refuse_for(error)
+            return
+        if self._body_plan is BodyPlan.STREAM and buffer.received_bytes >= STREAM_FIRST_PART_BYTES:
             self.table.set_state(self, "busy")
             streamed = StreamedRequestBody(self, body, buffer.take())
-            self._front.handle_request(self, self._message, streamed)
-
-    def _has_room_for_body(self) -> bool:
-        """Whether the budget has room for the larger of the declared and the received length of the body."""
-        declared = int(self.fields.get(b"content-length", b"0"))
-        return self._buffer.reserve(max(self._buffer.received_bytes, declared))
+            self._front.handle_request(self, message, streamed)
 
     def on_body_too_long(self) -> None:
         """Reject a request whose streamed body exceeds the limit; responses of nodes are discarded."""
@@ -225,7 +251,11 @@
             self._renew_parser()
 
     def _renew_parser(self) -> None:
-        """Replace the parser, as aiohttp's would pass the last trailer field on to the next request."""
+        """Replace the parser.
+
+        aiohttp's keeps the fields of a head until the next one begins, and would pass the last trailer field
+        on to the next request.
+        """
         self._parser = HttpRequestParser(
             self,
             self._loop,
@@ -251,7 +281,7 @@
         message = self._message
         self._message = None
         self.request_id = ""
-        self._buffer.clear()
+        self._discard_request()
         transport = self.transport
         if transport is None or transport.is_closing():
             if remainder is not None:
@@ -288,6 +318,20 @@
         self._body = None
         self.respond(status, f"{reason}\n".encode())
 
+    def _refuse_for(self, error: RefusedRequestError) -> None:
+        """Reject a request for the reason that an error states, and count the reason."""
+        self._front.counts[f"refused_{type(error).__name__}"] += 1
+        self.refuse(error.status, str(error))
+
+    def _discard_request(self) -> None:
+        """Free the memory of the request."""
+        if self._memory.is_head_large and self._parser is not None:
+            self._renew_parser()
+        self._buffer.clear()
+        self._memory.clear()
+        self._body_plan = BodyPlan.BUFFER
+        self.fields = {}
+
     def _is_last_response(self, message: RawRequestMessage | None, framing: Framing) -> bool:
         """Whether the connection closes after the response to this request."""
         return (
@@ -299,9 +343,12 @@
         )
 
     def _on_response_sent(self, closes_connection: bool) -> None:
+        if self.unsent_bytes():
+            self.table.close_unread()
         if closes_connection or self._closes_after_response:
             self.linger()
         else:
+            limit_read_size(self.transport, HEAD_READ_BYTES)
             self.table.set_state(self, "idle")
 
     async def _send_remainder(
@@ -337,7 +384,13 @@
     """Creates a connection object for each client that connects to the platform listener."""
 
     def __init__(self, front: RequestFront, table: ConnectionTable) -> None:
-        super().__init__(table, PlatformConnection, _unused_request_handler, access_log=None)
+        super().__init__(
+            table,
+            PlatformConnection,
+            _unused_request_handler,
+            access_log=None,
+            read_bufsize=STREAM_READ_AHEAD_BYTES,
+        )
         self.front = front
 
 
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -9,7 +9,7 @@
 
 from harriertide.decide.settings import Names
 from harriertide.engine.runtime import Runtime
-from harriertide.http.body_stream import BodyBudget
+from harriertide.http.buffer_budget import BufferBudget
 from harriertide.http.node_client import NodeClient
 from harriertide.platform.connection import PlatformConnection
 from harriertide.platform.fields import MalformedRequestError, read_arrival
@@ -26,10 +26,10 @@
     :param runtime: runs the core, which decides on the requests
     :param client: forwards requests to the storage nodes
     :param names: names of classes, plans and zones; a reload replaces them
-    :param bodies: memory budget for request bodies
+    :param bodies: memory budget for requests
     """
 
-    def __init__(self, runtime: Runtime, client: NodeClient, names: Names, bodies: BodyBudget) -> None:
+    def __init__(self, runtime: Runtime, client: NodeClient, names: Names, bodies: BufferBudget) -> None:
         self.counts: Counter[str] = Counter()
         self.names = names
         self.bodies = bodies
--- a/harriertide/platform/request_body.py
+++ b/harriertide/platform/request_body.py
@@ -1,7 +1,7 @@
 """Bodies of platform requests: buffered until complete, or streamed to the node while they arrive.
 
-A retry can send a buffered body again. All buffered bodies share a memory budget. A body that does not fit
-into the budget is streamed, and its request gets one attempt only.
+A retry can send a buffered body again. A body that is streamed gets one attempt only. Which it is, and what
+it may take of the memory, is decided in `request_memory`.
 """
 
 from __future__ import annotations
@@ -14,14 +14,13 @@
 from aiohttp.streams import StreamReader
 
 from harriertide.engine.runtime import Attempt
-from harriertide.http.body_stream import STREAM_IDLE_TIMEOUT_S, BodyBudget
+from harriertide.http.body_stream import STREAM_IDLE_TIMEOUT_S
 from harriertide.http.errors import RefusedRequestError
 from harriertide.platform.fields import HeaderFields
 from harriertide.platform.response_writer import LAST_CHUNK, encode_chunk
 
 MAX_REQUEST_BODY_BYTES = 32 * 1024 * 1024  # limit of the platform's protocol
 MAX_LENGTH_DIGITS = 9  # of Content-Length; a longer number exceeds any limit
-ALWAYS_BUFFERED_BYTES = 64 * 1024  # bodies up to this size are buffered even if the budget is exhausted
 
 
 class BodyTooLongError(RefusedRequestError):
@@ -42,17 +41,12 @@
 
 
 class RequestBodyBuffer:
-    """The received part of a request body, and the memory reserved for it.
+    """The received part of a request body."""
 
-    :param budget: the memory budget that all connections share
-    """
-
-    __slots__ = ("_budget", "_parts", "_reserved_bytes", "received_bytes")
+    __slots__ = ("_parts", "received_bytes")
 
-    def __init__(self, budget: BodyBudget) -> None:
-        self._budget = budget
+    def __init__(self) -> None:
         self._parts: list[bytes] = []
-        self._reserved_bytes = 0  # kept until the response, as a retry sends the body again
         self.received_bytes = 0
 
     def append(self, part: bytes) -> None:
@@ -60,15 +54,6 @@
         self._parts.append(part)
         self.received_bytes += len(part)
 
-    def reserve(self, size_bytes: int) -> bool:
-        """Raise the reservation for this body to a total size; return whether the budget had room for it."""
-        missing_bytes = size_bytes - self._reserved_bytes
-        if missing_bytes > 0 and self._budget.reserve(
-            missing_bytes, may_exceed=size_bytes <= ALWAYS_BUFFERED_BYTES
-        ):
-            self._reserved_bytes = size_bytes
-        return self._reserved_bytes >= size_bytes
-
     def is_too_long(self) -> bool:
         """Whether the received part exceeds MAX_REQUEST_BODY_BYTES."""
         return self.received_bytes > MAX_REQUEST_BODY_BYTES
@@ -80,9 +65,7 @@
         return joined
 
     def clear(self) -> None:
-        """Discard the body and return its memory to the budget."""
-        self._budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        """Discard the body."""
         self._parts = []
         self.received_bytes = 0
 
--- a/harriertide/platform/response_writer.py
+++ b/harriertide/platform/response_writer.py
@@ -14,6 +14,7 @@
 LAST_CHUNK = b"0\r\n\r\n"
 _REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large", 417: "Expectation Failed",
+    431: "Request Header Fields Too Large",
     501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 }  # fmt: skip
 
--- a/tests/test_memory_monitor.py
+++ b/tests/test_memory_monitor.py
@@ -21,8 +21,10 @@
 def test_a_line_names_the_owners_once_for_each_step_towards_the_limit(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
+    changes: list[bool] = []
+
     async def main() -> MemoryMonitor:
-        monitor = MemoryMonitor(LIMIT_BYTES, lambda: {"request_bytes": 7})
+        monitor = MemoryMonitor(LIMIT_BYTES, lambda: {"request_bytes": 7}, changes.append)
         for ratio in (0.5, 0.85, 0.86, 0.96, 0.5, 0.81):
             monitor.record(int(ratio * LIMIT_BYTES))
         return monitor
@@ -31,6 +33,7 @@
     lines = [line for line in capsys.readouterr().err.splitlines() if "memory is short" in line]
     assert len(lines) == 3
     assert all("held_request_bytes=7" in line for line in lines)
+    assert changes == [True, False]
     assert monitor.counts["peak_kib"] == int(0.96 * LIMIT_BYTES) // 1024
 
 
--- a/tests/test_request_streaming.py
+++ b/tests/test_request_streaming.py
@@ -8,9 +8,10 @@
 import pytest
 
 from harriertide.decide import api
-from harriertide.http import body_stream, client_connection
+from harriertide.http import client_connection
+from harriertide.http.buffer_budget import BufferBudget
 from harriertide.platform import request_body
-from harriertide.platform.request_body import ALWAYS_BUFFERED_BYTES
+from harriertide.platform.request_memory import MAX_SHORT_BODY_BYTES
 from tests.socket_broker import (
     LONG_BODY,
     SocketBroker,
@@ -40,8 +41,13 @@
 
 @pytest.fixture
 def exhausted_body_budget(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Exhaust the body budget for all bodies that may not exceed it."""
-    monkeypatch.setattr(body_stream.BodyBudget, "reserve", lambda self, size, may_exceed=False: may_exceed)
+    """Exhaust the body budget for all that a request can be served without."""
+
+    def reserve_needed(budget: BufferBudget, size: int, is_optional: bool = False) -> bool:
+        budget.reserved_bytes += 0 if is_optional else size
+        return not is_optional
+
+    monkeypatch.setattr(BufferBudget, "reserve", reserve_needed)
 
 
 def test_a_buffered_request_is_retried_whole_if_a_node_fails_it() -> None:
@@ -72,7 +78,7 @@
     """A request body is not copied into the buffer of its connection, which would double the memory."""
 
     async def scenario(broker: SocketBroker) -> None:
-        for size in (ALWAYS_BUFFERED_BYTES, len(LONG_BODY)):
+        for size in (MAX_SHORT_BODY_BYTES, len(LONG_BODY)):
             client = broker.connect()
             client.sendall(request_head(broker, f"Content-Length: {size}\r\n", "PUT") + LONG_BODY[:size])
             _, _, body, connection = await broker.node.requests.get()
@@ -252,7 +258,7 @@
     monkeypatch.setattr(client_connection, "REQUEST_TIMEOUT_S", 0.3)
 
     async def scenario(broker: SocketBroker) -> None:
-        body = LONG_BODY[:ALWAYS_BUFFERED_BYTES]
+        body = LONG_BODY[:MAX_SHORT_BODY_BYTES]
         client = broker.connect()
         client.sendall(request_head(broker, f"Connection: close\r\nContent-Length: {len(body)}\r\n", "PUT"))
         for offset in range(0, len(body), 8_192):
@@ -266,9 +272,12 @@
     run_with_broker(scenario)
 
 
-def test_bodies_share_one_budget() -> None:
-    """Bodies of all connections share one budget. Small bodies may exceed it, but count against it."""
-    budget = body_stream.BodyBudget(100)
-    assert budget.reserve(60) and not budget.reserve(60) and budget.reserve(60, may_exceed=True)
-    budget.release(120)
+def test_connections_share_one_budget_that_none_may_exceed() -> None:
+    """What a request can be served without leaves half of the budget to what can't."""
+    budget = BufferBudget(100)
+    assert budget.reserve(40, is_optional=True) and not budget.reserve(20, is_optional=True)
+    assert budget.reserve(60) and not budget.reserve(1)
+    budget.release(100)
     assert budget.reserved_bytes == 0
+    budget.is_short = True
+    assert budget.reserve(1) and not budget.reserve(1)
--- a/tests/test_response_streaming.py
+++ b/tests/test_response_streaming.py
@@ -54,7 +54,7 @@
         received = await receive_all(client)
         assert response_body(received) == LONG_BODY
         assert version == "1.1" or b"chunked" not in received.partition(b"\r\n\r\n")[0]
-        assert broker.daemon.client.pool._buffered_bytes == 0
+        assert broker.daemon.client.pool.buffered_bytes == 0
 
     run_with_broker(scenario)
 
@@ -140,7 +140,7 @@
         else:
             assert len(body) < len(LONG_BODY)
         await broker.wait_until_settled()
-        assert broker.node.requests.empty() and broker.daemon.client.pool._buffered_bytes == 0
+        assert broker.node.requests.empty() and broker.daemon.client.pool.buffered_bytes == 0
 
     run_with_broker(scenario)
 
@@ -239,7 +239,7 @@
             await asyncio.sleep(0.005)
         client.close()
         async with asyncio.timeout(2):
-            while len(broker.daemon.client.pool) or broker.daemon.client.pool._buffered_bytes:
+            while len(broker.daemon.client.pool) or broker.daemon.client.pool.buffered_bytes:
                 await asyncio.sleep(0.005)
 
     run_with_broker(scenario)
@@ -263,7 +263,7 @@
             connection.writer.write(LONG_RESPONSES["a length"])
             await connection.writer.drain()
         async with asyncio.timeout(2):
-            while len(broker.daemon.client.pool) or broker.daemon.client.pool._buffered_bytes:
+            while len(broker.daemon.client.pool) or broker.daemon.client.pool.buffered_bytes:
                 await asyncio.sleep(0.005)
 
     run_with_broker(scenario)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -769,7 +769,7 @@
         assert (
             old.bodies.limit_bytes
             == new.bodies.limit_bytes
-            == new.config.limits.max_buffered_request_bytes // 2
+            == new.config.limits.half().max_buffered_request_bytes
         )
         await old.stop()
         async with asyncio.timeout(PATIENCE_S):
