Bound the volumes that are remembered, and forget first those that have spent no limit

Callers: one client that names a new volume with each request took a process from 26 to 72 MiB in a minute. Cause: rate_limits kept each volume for 60 s, some 840 bytes, however many there were. Why it works: the bound follows from the memory; what is forgotten has used nothing of a rate limit or has refilled, so that no limit is exceeded; where neither is left, a new volume with a limit is rejected, which is harmless.

--- a/harriertide/decide/api/__init__.py
+++ b/harriertide/decide/api/__init__.py
@@ -42,6 +42,7 @@
     TimerFired,
 )
 from harriertide.decide.api.settings import (
+    DEFAULT_MAX_RETAINED_VOLUMES,
     DeduplicationScope,
     Idempotency,
     Plan,
@@ -55,6 +56,7 @@
     "AttemptFinished",
     "CancelAttempt",
     "ClientDisconnected",
+    "DEFAULT_MAX_RETAINED_VOLUMES",
     "DeduplicationScope",
     "EXECUTION_BY_OUTCOME",
     "EndpointUpdate",
--- a/harriertide/decide/api/settings.py
+++ b/harriertide/decide/api/settings.py
@@ -8,6 +8,7 @@
 
 # Stands for 0 where a limit must be above 0: no request fits within it.
 EXHAUSTED_UNITS = 1e-6
+DEFAULT_MAX_RETAINED_VOLUMES = 25_000
 
 Idempotency: TypeAlias = Literal["idempotent", "keyed", "non_idempotent"]
 DeduplicationScope: TypeAlias = Literal["all", "zone", "shard"]
@@ -124,6 +125,8 @@
     :ivar key_quiet_us: wait after an attempt of an ordered request that may still run, before the next
         request of its key
     :ivar admits_ordered_requests: this process, and no newer one of the broker, keeps the order of keys
+    :ivar max_retained_volumes: most volumes whose state is kept; beyond it, those are forgotten first that
+        have used nothing of a rate limit, and requests of new volumes with a rate limit are rejected
     :ivar retry_budget_floor, retry_budget_ratio, retry_budget_window_us: retries within a window are limited
         to the floor plus this part of the window's requests; a floor of None: no limit
 
@@ -158,8 +161,10 @@
     retry_budget_floor: float | None = None
     retry_budget_ratio: float = 0.0
     retry_budget_window_us: int = 0
+    max_retained_volumes: int = DEFAULT_MAX_RETAINED_VOLUMES
 
     def __post_init__(self) -> None:
+        _require_at_least(self, 1, "max_retained_volumes")
         _require_at_least(
             self, 1, "broker_count", "shard_count", "max_attempts", "tick_us", "collapse_load_ratio"
         )
--- a/harriertide/decide/derived.py
+++ b/harriertide/decide/derived.py
@@ -44,6 +44,8 @@
     is_standalone: there is no other broker, or messages to peers are not allowed. slow_start_ratio: the part
     of a warming node's budget that each of its coordinators grants. highest_priority: the highest priority
     that a request can have. preferred_shards: the shards at which this broker places new objects first.
+    volume_retention_us: time without requests after which a volume is forgotten. rate_limit_refill_us: the
+    time in which an empty bucket of any plan's rate limit fills up.
     """
 
     broker_index: int
@@ -54,6 +56,7 @@
     shortest_objective_us: int
     highest_priority: float
     volume_retention_us: int
+    rate_limit_refill_us: int
     poll_first_wait_us: int
     poll_max_wait_us: int
 
@@ -75,6 +78,7 @@
         for request_class in settings.classes
         for plan in settings.plans
     )
+    rate_limit_refill_us = _rate_limit_refill_us(settings)
     return DerivedSettings(
         broker_index=settings.broker_index,
         broker_count=settings.broker_count,
@@ -83,7 +87,8 @@
         preferred_shards=_preferred_shards(settings),
         shortest_objective_us=min(each.latency_objective_us for each in settings.classes),
         highest_priority=highest_priority or 1.0,
-        volume_retention_us=_volume_retention_us(settings),
+        volume_retention_us=max(IDLE_STATE_RETENTION_US, rate_limit_refill_us),
+        rate_limit_refill_us=rate_limit_refill_us,
         poll_first_wait_us=min(poll_max_wait_us, poll_first_wait_us),
         poll_max_wait_us=poll_max_wait_us,
     )
@@ -116,11 +121,11 @@
     return frozenset(order[position * size :][:size])
 
 
-def _volume_retention_us(settings: api.Settings) -> int:
-    """Time without requests after which a volume's buckets are all full, so that it can be forgotten."""
+def _rate_limit_refill_us(settings: api.Settings) -> int:
+    """Time in which an empty bucket of any plan's rate limit fills up."""
     refill_times_us = [
         int(SECOND_US * plan.burst_limit_units / plan.rate_limit)
         for plan in settings.plans
         if plan.rate_limit > 0
     ]
-    return max(IDLE_STATE_RETENTION_US, *refill_times_us, 0)
+    return max(refill_times_us, default=0)
--- a/harriertide/decide/rate_limits.py
+++ b/harriertide/decide/rate_limits.py
@@ -41,6 +41,8 @@
         self._context = context
         self._exchange = exchange
         self.volumes: dict[int, VolumeState] = {}  # by key, least recently used first
+        # Keys of volumes without a state worth keeping when they were last used, least recently used first.
+        self._discardable: dict[int, None] = {}
         self.leases: Leases | None = None
         self.grants: QuotaGrants | None = None
         exchange.register(LeaseVoteRequest, self._on_vote_request)
@@ -86,12 +88,17 @@
         now_us, retention_us = self._context.now_us, self._context.derived.volume_retention_us
         if self.grants is not None:
             self.grants.forget(now_us - retention_us)
-        expire_oldest(self.volumes, lambda volume: now_us - volume.used_at_us > retention_us)
+        expired = expire_oldest(self.volumes, lambda volume: now_us - volume.used_at_us > retention_us)
+        for key, _ in expired:
+            self._discardable.pop(key, None)
 
     # --- volumes -------------------------------------------------------------------------------------
 
     def use_volume(self, arrival: api.Arrival) -> VolumeState:
-        """Return the volume of an arriving request, and mark it as used now."""
+        """Return the volume of an arriving request, and mark it as used now.
+
+        A new volume is not retained where there is room for no further one.
+        """
         context = self._context
         key = crc32(arrival.volume.encode())
         volume = self.volumes.get(key)
@@ -101,14 +108,53 @@
             rate_limit_bucket = TokenBucket(0.0, context.started_at_us)
             local_ratio = min(1.0, LOCAL_QUOTA_FACTOR / max(1, arrival.sharing_broker_count))
             volume = VolumeState(key, local_ratio, reserved_bucket, rate_limit_bucket)
+            if not self._make_room():
+                return volume
         self.add_volume(volume)
         return volume
 
+    def is_retained(self, volume: VolumeState) -> bool:
+        """Whether what a volume spends is remembered, so that its rate limit can be kept."""
+        return self.volumes.get(volume.key) is volume
+
     def add_volume(self, volume: VolumeState) -> None:
         """Add a volume as the most recently used one, or move a known volume to that place."""
         self.volumes.pop(volume.key, None)
         self.volumes[volume.key] = volume
         volume.used_at_us = self._context.now_us
+        self._discardable.pop(volume.key, None)
+        if self._is_like_new(volume):
+            self._discardable[volume.key] = None
+
+    def _make_room(self) -> bool:
+        """Forget a volume if there are too many; False if that would let one exceed its rate limit."""
+        if len(self.volumes) < self._context.settings.max_retained_volumes:
+            return True
+        while self._discardable:
+            key = next(iter(self._discardable))
+            del self._discardable[key]
+            if self._is_like_new(self.volumes[key]):
+                del self.volumes[key]
+                return True
+        oldest = next(iter(self.volumes.values()))
+        if not self._has_refilled(oldest):
+            return False
+        del self.volumes[oldest.key]
+        return True
+
+    def _is_like_new(self, volume: VolumeState) -> bool:
+        """Whether a volume has used nothing of a rate limit, so that nothing is lost if it is forgotten."""
+        is_bucket_unused = volume.rate_limit_bucket.refilled_at_us == self._context.started_at_us
+        return is_bucket_unused and not volume.waiting and self._has_unused_credit(volume)
+
+    @staticmethod
+    def _has_unused_credit(volume: VolumeState) -> bool:
+        return not volume.credit.request_number and not volume.credit.used_units
+
+    def _has_refilled(self, volume: VolumeState) -> bool:
+        """Whether the bucket of a volume's rate limit is full again, and no other broker counts its units."""
+        idle_us = self._context.now_us - volume.used_at_us
+        return idle_us > self._context.derived.rate_limit_refill_us and self._has_unused_credit(volume)
 
     # --- requests ------------------------------------------------------------------------------------
 
--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -247,6 +247,9 @@
             return "no_node"
         if is_shed:
             return "overload"
+        plan = self.context.settings.plans[request.arrival.plan]
+        if plan.rate_limit > 0 and not self.rate_limits.is_retained(request.volume):
+            return "rate_limit"
         wait_us = self.rate_limits.request_wait_us(request)
         return "rate_limit" if self.rate_limits.is_wait_too_long(request, wait_us) else None
 
--- a/harriertide/engine/workload_records.py
+++ b/harriertide/engine/workload_records.py
@@ -232,7 +232,9 @@
         api.Settings,
         classes=classes,
         plans=plans,
-        admits_ordered_requests=True,  # a state of the recorded process, which is not recorded
+        # a state and a limit of the recorded process, which are not recorded
+        admits_ordered_requests=True,
+        max_retained_volumes=api.DEFAULT_MAX_RETAINED_VOLUMES,
     )
 
 
--- a/harriertide/http/limits.py
+++ b/harriertide/http/limits.py
@@ -27,6 +27,10 @@
 CONNECTION_MEMORY_RATIO = 0.5  # of the memory beside OWN_MEMORY_MB: where it is little, it limits connections
 # Of the memory beside the process itself and its connections; the rest is a margin for what is not counted.
 BUFFER_MEMORY_RATIO = 0.75
+# Of the same memory, for the state of volumes, which clients name; part of the margin.
+VOLUME_MEMORY_RATIO = 0.125
+VOLUME_BYTES = 900
+MIN_VOLUMES = 500
 BUFFER_KIND_COUNT = 3  # requests, responses of nodes, and output that clients have not read get equal parts
 MIN_BUFFER_BYTES = 128 * 1024  # of each kind, however little memory there is
 # A fully buffered response may use a 16th of the buffer memory, within these bounds.
@@ -54,12 +58,21 @@
     max_node_connections: int
     connection_bytes: int = 0
 
+    @property
+    def _rest_bytes(self) -> int:
+        """Memory beside the broker's processes and their connections, for one process."""
+        rest_bytes = self.memory_bytes - self.process_count * self.own_memory_bytes - self.connection_bytes
+        return rest_bytes // self.process_count
+
     @property
     def max_buffer_bytes(self) -> int:
         """Maximum memory of each kind of buffers in this process."""
-        rest_bytes = self.memory_bytes - self.process_count * self.own_memory_bytes - self.connection_bytes
-        share_bytes = BUFFER_MEMORY_RATIO * rest_bytes / self.process_count / BUFFER_KIND_COUNT
-        return max(MIN_BUFFER_BYTES, int(share_bytes))
+        return max(MIN_BUFFER_BYTES, int(BUFFER_MEMORY_RATIO * self._rest_bytes / BUFFER_KIND_COUNT))
+
+    @property
+    def max_volumes(self) -> int:
+        """Maximum number of volumes whose state is kept."""
+        return max(MIN_VOLUMES, int(VOLUME_MEMORY_RATIO * self._rest_bytes / VOLUME_BYTES))
 
     @property
     def max_buffered_request_bytes(self) -> int:
--- a/harriertide/lab/rigs/hostile_clients.py
+++ b/harriertide/lab/rigs/hostile_clients.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
-from typing import Literal
+from typing import Literal, get_args
 
 from harriertide.engine.clock import sleep_until
 
@@ -30,12 +30,14 @@
 CHUNK_COUNT = 60_000
 CHUNK_BATCH_COUNT = 1_000
 PIPELINED_COUNT = 400
+BLANK_BATCH_COUNT = 100
 CLIENT_DEADLINE_MS = 2_000
 
 HostileForm = Literal[
     "slow body", "half of a long body", "most of a short body", "endless head of long fields",
     "endless head of short fields", "finished head of many fields", "chunks of one byte", "unread answers",
-    "silent", "pipelined reads",
+    "silent", "pipelined reads", "blank lines", "unreadable lines", "interim requests", "new volumes",
+    "new volumes of a limited plan",
 ]  # fmt: skip
 
 
@@ -49,6 +51,11 @@
     ).encode()
 
 
+def _volume_request(number: int, plan: str) -> bytes:
+    head = _head(number, "\r\n", "GET").replace(b"Class: free", f"Class: {plan}".encode())
+    return head.replace(f"volume={number % 997:016x}".encode(), f"volume={number:016x}".encode())
+
+
 async def _pause(seconds: float) -> None:
     await sleep_until(asyncio.get_running_loop().time() + seconds)
 
@@ -103,6 +110,22 @@
     yield _head(number, "\r\n", "GET") * PIPELINED_COUNT
 
 
+async def _blank_lines(number: int) -> AsyncIterator[bytes]:
+    for _ in range(BLANK_BATCH_COUNT):
+        yield b"\r\n" * PIECE_BYTES
+
+
+async def _unreadable_lines(number: int) -> AsyncIterator[bytes]:
+    yield b"\x16\x03\x01 : \r\n" * PIPELINED_COUNT
+
+
+async def _interim_requests(number: int) -> AsyncIterator[bytes]:
+    """Heads that ask for 100 Continue, whose bodies come in pieces of one byte."""
+    yield _head(number, "Expect: 100-continue\r\nContent-Length: 2000\r\n\r\n")
+    for _ in range(2000):
+        yield b"b"
+
+
 _WRITERS: dict[HostileForm, Callable[[int], AsyncIterator[bytes]]] = {
     "slow body": _slow_body,
     "half of a long body": _half_of_a_long_body,
@@ -114,7 +137,12 @@
     "unread answers": _unread_answers,
     "silent": _silent,
     "pipelined reads": _pipelined_reads,
+    "blank lines": _blank_lines,
+    "unreadable lines": _unreadable_lines,
+    "interim requests": _interim_requests,
 }
+# One request after another on a kept connection, each for a volume that was never named before.
+_VOLUME_PLANS: dict[HostileForm, str] = {"new volumes": "free", "new volumes of a limited plan": "capped"}
 
 
 class HostileClients:
@@ -128,7 +156,6 @@
         self.statuses: Counter[str] = Counter()
         self._address = address
         self._form = form
-        self._write = _WRITERS[form]
         self._request_count = 0
 
     async def play(self, count: int, duration_s: float) -> None:
@@ -140,7 +167,7 @@
     async def _repeat(self) -> None:
         while True:
             self._request_count += 1
-            with suppress(OSError):
+            with suppress(OSError, asyncio.IncompleteReadError):
                 await self._send_one(self._request_count)
             await _pause(RECONNECT_DELAY_S)
 
@@ -148,13 +175,28 @@
         """Write one request on a new connection, and stay until the broker ends it."""
         reader, writer = await asyncio.open_connection(*self._address)
         try:
+            if self._form in _VOLUME_PLANS:
+                await self._name_volumes(reader, writer, _VOLUME_PLANS[self._form])
+                return
             await self._send_pieces(writer, number)
             await self._read_to_end(reader)
         finally:
             writer.transport.abort()
 
+    async def _name_volumes(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, plan: str
+    ) -> None:
+        """Send one request after another, as fast as they are answered."""
+        while True:
+            self._request_count += 1
+            writer.write(_volume_request(self._request_count, plan))
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+            await reader.readexactly(length)
+            self.statuses[head[9:12].decode()] += 1
+
     async def _send_pieces(self, writer: asyncio.StreamWriter, number: int) -> None:
-        async for piece in self._write(number):
+        async for piece in _WRITERS[self._form](number):
             writer.write(piece)
             await writer.drain()
 
@@ -182,7 +224,7 @@
 def main(words: list[str]) -> None:
     """Play the clients that the command line names, and print their statuses as JSON."""
     host, port, form, count, duration_s = words
-    (known_form,) = [each for each in _WRITERS if each == form]
+    (known_form,) = [each for each in get_args(HostileForm) if each == form]
     clients = HostileClients((host, int(port)), known_form)
     asyncio.run(clients.play(int(count), float(duration_s)))
     print(json.dumps(clients.statuses))
--- a/harriertide/platform/configuration.py
+++ b/harriertide/platform/configuration.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from string import hexdigits
 from typing import Any
@@ -124,19 +124,20 @@
     cached_list = _parse_cached_list(raw, names)
     domain = SettingsSection(settings, "settings").section("domain")
     serves_operators = bool(addresses.operator or (running and running.operator))
+    resource_limits = read_limits(limits, OPERATOR_DESCRIPTOR_COUNT if serves_operators else 0)
     return Config(
         name=addresses.name,
         listen=parse_address(addresses.listen),
         discovery=addresses.discovery,
         seed=seed,
-        settings=from_wire(settings),
+        settings=replace(from_wire(settings), max_retained_volumes=resource_limits.max_volumes),
         names=names,
         peer_listen=parse_address(addresses.peer_listen) if addresses.peer_listen else None,
         peers=addresses.peers,
         cached_list=cached_list,
         writes=domain.flags("writes"),
         raw_settings=settings,
-        limits=read_limits(limits, OPERATOR_DESCRIPTOR_COUNT if serves_operators else 0),
+        limits=resource_limits,
         operator=parse_address(addresses.operator) if addresses.operator else None,
         inherited_descriptor=inherited_descriptor,
     )
