--- a/tests/test_volume_bound.py
+++ b/tests/test_volume_bound.py
@@ -94,3 +94,14 @@
         requests.send(f"free{number}", FREE, after_us=100)
     for number in range(MAX_VOLUMES):
         assert requests.send(f"limited{number}", LIMITED, after_us=100) == "served"
+
+
+# Guards against requests that are kept until their deadline, which the client of a stream may set freely.
+def test_finished_requests_leave_no_timers_however_late_their_deadlines_are() -> None:
+    """One request is always open, so that the next timer due is not obsolete."""
+    requests = ServedRequests(ALONE)
+    open_request = api.Arrival("open", 0, FREE, "v", 0, START_US + 10 * SECOND_US, 1.0, "k")
+    requests.scheduler.decide(START_US, [open_request])
+    for number in range(5_000):
+        requests.send(f"v{number % 7}", FREE, after_us=1_000, wait_us=1_000_000 * SECOND_US)
+    assert len(requests.scheduler.context.timers) < 600
