Bound a head as a whole at the object front, and what is read ahead of its uploads

Callers: a connection of the object front could hold 1 MB of a head that never ends, and 512 KB of an upload that is read ahead. Cause: aiohttp bounds each field and their number, not the head; the size of what it reads ahead was left at its default. Why it works: bytes are counted while the handler waits for a head; above 64 KB the answer is 431 and the connection ends.

--- a/harriertide/http/client_connection.py
+++ b/harriertide/http/client_connection.py
@@ -18,6 +18,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from harriertide.http.read_scheduler import ReadScheduler
+from harriertide.http.read_size import SOCKET_READ_BYTES, limit_read_size
 
 # Time for a request to arrive completely, measured from the accept for the first request and from the
 # first byte for later ones. Guards against connections that send nothing, and endless heads and bodies.
@@ -26,6 +27,11 @@
 # take processor time from other clients.
 MAX_LINGER_BYTES = 256 * 1024
 
+MAX_HEAD_BYTES = 64 * 1024  # of a request
+LONG_HEAD_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
 ConnectionState = Literal["silent", "reading", "busy", "idle", "lingering"]  # parts of counter names
 
 
@@ -57,7 +63,7 @@
     :param options: options of aiohttp's handler
     """
 
-    __slots__ = ("table", "state", "since", "queue_time_s", "discarded", "is_held")
+    __slots__ = ("table", "state", "since", "queue_time_s", "discarded", "is_held", "head_bytes")
 
     def __init__(self, server: web.Server, table: ConnectionTracker, **options: Any) -> None:
         super().__init__(server, loop=asyncio.get_running_loop(), **options)
@@ -66,11 +72,13 @@
         self.since = 0.0  # when the connection entered its state, in the event loop's time
         self.queue_time_s = 0.0  # for which the first request waited until the connection was accepted
         self.discarded = 0  # bytes discarded while the connection lingers
+        self.head_bytes = 0  # received of a head that is not complete
         self.is_held = False  # the read scheduler lets the input wait
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the handler, and add the connection to the table."""
         super().connection_made(transport)
+        limit_read_size(transport, SOCKET_READ_BYTES)
         self.table.admit(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -91,7 +99,19 @@
             return
         if self.state in ("silent", "idle"):
             self.table.set_state(self, "reading")
+        if self._waiter is not None:  # aiohttp's handler waits for a head
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES:
+                self._refuse_long_head()
+                return
         super().data_received(data)
+        if self._messages or self._waiter is None:
+            self.head_bytes = 0
+
+    def _refuse_long_head(self) -> None:
+        if self.transport is not None:
+            self.transport.write(LONG_HEAD_RESPONSE)
+        self.drop()
 
     def hold_reading(self) -> None:
         """Read no input until `release_reading`."""
--- a/harriertide/http/client_server.py
+++ b/harriertide/http/client_server.py
@@ -15,6 +15,7 @@
 
 MAX_BODY_BYTES = 64 * 1024  # of a request, unless the caller sets another limit
 MAX_START_LINE_BYTES = 16_384  # of a request
+READ_AHEAD_BYTES = 32 * 1024  # of a request body; reading pauses above twice as much
 BODY_LINGER_S = 1.0  # time to discard an unread request body, for servers that accept large bodies
 
 # The transport of the request being handled, for calls made on behalf of its client.
@@ -88,4 +89,5 @@
         auto_decompress=False,
         lingering_time=BODY_LINGER_S,
         max_line_size=MAX_START_LINE_BYTES,
+        read_bufsize=READ_AHEAD_BYTES,
     )
--- a/harriertide/http/node_connection.py
+++ b/harriertide/http/node_connection.py
@@ -18,6 +18,7 @@
 from aiohttp.streams import StreamReader
 
 from harriertide.decide import api
+from harriertide.http.read_size import SOCKET_READ_BYTES, limit_read_size
 from harriertide.http.response_framing import (
     BODILESS_STATUSES,
     END_OF_CHUNKS,
@@ -33,7 +34,6 @@
 from harriertide.http.silence_timer import SilenceTimer
 
 READ_AHEAD_BYTES = 64 * 1024  # of a response body; above it, reading pauses until the consumer catches up
-SOCKET_READ_BYTES = 32 * 1024  # maximum per read: several copies of the data read are in memory at once
 MAX_FORWARDED_RESPONSE_BYTES = 64 * 1024 * 1024  # twice the longest expected response
 FORWARD_READ_AHEAD_BYTES = 32 * 1024  # READ_AHEAD_BYTES for a response that is forwarded
 # Maximum memory for one forwarded response on both sides of the broker together; exceeded only briefly.
@@ -43,12 +43,6 @@
 FIRST_PART_BYTES = 64 * 1024
 
 
-def limit_read_size(transport: asyncio.BaseTransport | None, size_bytes: int = SOCKET_READ_BYTES) -> None:
-    """Limit the event loop's reads from a connection; asyncio's default is 256 KiB."""
-    if transport is not None and hasattr(transport, "max_size"):  # only asyncio's socket transports have it
-        transport.max_size = size_bytes
-
-
 class ConnectionOwner(Protocol):
     """The part of the pool's interface that a connection uses."""
 
@@ -99,7 +93,7 @@
         super().connection_made(transport)
         assert isinstance(transport, asyncio.WriteTransport)
         transport.set_write_buffer_limits(0)
-        limit_read_size(transport)
+        limit_read_size(transport, SOCKET_READ_BYTES)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Leave the pool. An unsized body that is incomplete fails unless the node has sent an EOF.
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -25,7 +25,8 @@
 from harriertide.http.connection_table import ConnectionTable
 from harriertide.http.errors import MemoryShortError, NotReadInTimeError, RefusedRequestError
 from harriertide.http.expectation import CONTINUE_RESPONSE, expects_continue
-from harriertide.http.node_connection import FORWARD_READ_AHEAD_BYTES, limit_read_size
+from harriertide.http.node_connection import FORWARD_READ_AHEAD_BYTES
+from harriertide.http.read_size import limit_read_size
 from harriertide.http.socket_state import has_unread_input
 from harriertide.http.transfer_coding import check_body_coding
 from harriertide.platform.fields import HeaderFields, read_fields
--- a/harriertide/platform/request_memory.py
+++ b/harriertide/platform/request_memory.py
@@ -11,9 +11,9 @@
 from http import HTTPStatus
 
 from harriertide.http.buffer_budget import BufferBudget
+from harriertide.http.client_connection import MAX_HEAD_BYTES
 from harriertide.http.errors import MemoryShortError, RefusedRequestError
 
-MAX_HEAD_BYTES = 64 * 1024  # of a request
 END_OF_HEAD = b"\r\n\r\n"
 HEAD_ALLOTMENT_BYTES = 8 * 1024  # of the memory of a head, part of every connection's allotment
 FIELD_BYTES = 400  # objects of one header field, parsed, kept for attempts and encoded
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from harriertide.http.buffer_budget import BufferBudget
+from harriertide.http.client_connection import MAX_HEAD_BYTES
 from harriertide.http.errors import MemoryShortError
 from harriertide.http.limits import (
     BUFFER_KIND_COUNT,
@@ -18,7 +19,6 @@
 from harriertide.platform.request_memory import (
     FIELD_BYTES,
     HEAD_ALLOTMENT_BYTES,
-    MAX_HEAD_BYTES,
     MAX_SHORT_BODY_BYTES,
     STREAM_BYTES,
     BodyPlan,
