Refuse an id that may have run for a client that left, where it must not run again

Callers: a write that may run once only ran twice: its client left, and the same id came again on a new connection. Cause: an id was in use only while its request was open; after the attempt of a client that had left it was free again. Why it works: core/requests remembers such ids for 60 s, a bounded number of them, and a new request with one is refused with 400.

--- a/harriertide/core/reducer.py
+++ b/harriertide/core/reducer.py
@@ -92,6 +92,11 @@
         """Whether the request id is in use."""
         return request_id in self._lifecycle.requests
 
+    def is_id_usable(self, request_id: str) -> bool:
+        """Whether a new request may have this id: not in use, and not run for a client that has left."""
+        requests = self._lifecycle.requests
+        return request_id not in requests and not requests.may_have_executed(request_id)
+
     def open_request_count(self) -> int:
         """The number of requests without a final answer."""
         return self._lifecycle.requests.open_count()
@@ -124,7 +129,7 @@
         :returns: the effects to perform, in order
         """
         self._effects = []
-        self._lifecycle.requests.drop_expired_gaps(now_us)
+        self._lifecycle.requests.drop_expired(now_us)
         pending: list[api.Event] = []
         for event in events:
             pending += self._event_handlers[type(event)](now_us, event)
@@ -157,7 +162,7 @@
         return [api.ResponseStarted(event.request_id, event.attempt)]
 
     def _on_client_disconnected(self, now_us: int, event: ev.ClientDisconnected) -> list[api.Event]:
-        if not self._lifecycle.disconnect_client(event.request_id):
+        if not self._lifecycle.disconnect_client(now_us, event.request_id):
             return []
         return [api.ClientDisconnected(event.request_id)]
 
--- a/harriertide/core/request_lifecycle.py
+++ b/harriertide/core/request_lifecycle.py
@@ -52,7 +52,7 @@
         self.requests.add(arrival, streams_body)
         return True
 
-    def disconnect_client(self, request_id: str) -> bool:
+    def disconnect_client(self, now_us: int, request_id: str) -> bool:
         """Close a request whose client has disconnected, without a final answer; its open attempt continues.
 
         :returns: whether the request was still without a final answer
@@ -62,7 +62,8 @@
             return False
         self._counts["left"] += 1
         request.is_answered = True
-        self.requests.remove_if_finished(request)
+        request.has_client_left = True
+        self._finish(request, now_us)
         return True
 
     # --- attempts -------------------------------------------------------------------------------
@@ -164,7 +165,7 @@
             self._answer(request, ev.Respond(event.request_id, "served", event.reply))
         else:
             self._discard(event.reply)
-        self.requests.remove_if_finished(request)
+        self._finish(request, now_us)
         # Excludes the time that the client took to send the body, which does not depend on the node.
         latency_us = now_us - max(attempt.decided_at_us, event.body_written_us)
         return api.AttemptFinished(
@@ -176,6 +177,18 @@
             is_final=request.is_answered,
         )
 
+    def _finish(self, request: ActiveRequest, now_us: int) -> None:
+        """Remove a request if it is finished; remember its id if it must not run a second time.
+
+        A client that has left knows nothing of its request, and may send it again. Nodes recognize a repeated
+        id only within the scope and time that the settings state.
+        """
+        request_class = self.settings.classes[request.arrival.request_class]
+        may_repeat = request_class.idempotency == "idempotent" or not request.may_have_executed
+        if request.is_finished and request.has_client_left and not may_repeat:
+            self.requests.remember_executed(request.request_id, now_us)
+        self.requests.remove_if_finished(request)
+
     # --- final answers --------------------------------------------------------------------------
 
     def give_final_answer(self, answer: ev.Respond) -> None:
--- a/harriertide/core/requests.py
+++ b/harriertide/core/requests.py
@@ -12,6 +12,9 @@
 # is short of processor time. Without a gap, nodes can hold both attempts at once and execute a non-idempotent
 # request twice. docs/measurements/second-copy.md lists the frequency by length of the gap.
 RETRY_GAP_US = 12_000
+# How long an id is refused that may have run for a client that left, and of how many ids that is remembered.
+EXECUTED_ID_RETENTION_US = 60_000_000
+MAX_EXECUTED_IDS = 2_000
 _INTERRUPTED_OUTCOMES = api.POSSIBLY_RUNNING_OUTCOMES | {"error"}
 
 
@@ -32,6 +35,7 @@
     arrival: api.Arrival
     streams_body: bool = False  # the body is forwarded as it arrives
     is_answered: bool = False  # the final answer was given, or the client has disconnected
+    has_client_left: bool = False  # the client has disconnected before the final answer
     attempt_count: int = 0  # includes attempts that were refused before their start
     open_attempt: OpenAttempt | None = None
     first_attempt_at_us: int | None = None  # when the first attempt was decided
@@ -95,7 +99,7 @@
 
 
 class RequestTable:
-    """All active requests by id, and the pending gaps of ids that were freed."""
+    """All active requests by id, the pending gaps of ids that were freed, and ids that must not run again."""
 
     def __init__(self) -> None:
         self._requests: dict[str, ActiveRequest] = {}
@@ -103,6 +107,7 @@
         # reuses an id right after an interrupted attempt, the gap keeps nodes from holding both attempts at
         # once.
         self._gap_ends_us: dict[str, int] = {}
+        self._executed_until_us: dict[str, int] = {}  # until when an id must not run again; oldest first
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._requests
@@ -129,13 +134,21 @@
         if request.next_attempt_not_before_us:
             self._gap_ends_us[request.request_id] = request.next_attempt_not_before_us
 
-    def drop_expired_gaps(self, now_us: int) -> None:
-        """Drop the gaps that have ended."""
-        while self._gap_ends_us:
-            oldest_id = next(iter(self._gap_ends_us))
-            if self._gap_ends_us[oldest_id] > now_us:
-                return
-            del self._gap_ends_us[oldest_id]
+    def remember_executed(self, request_id: str, now_us: int) -> None:
+        """Remember that a request may have run, so that its id does not run again."""
+        self._executed_until_us.pop(request_id, None)
+        self._executed_until_us[request_id] = now_us + EXECUTED_ID_RETENTION_US
+        if len(self._executed_until_us) > MAX_EXECUTED_IDS:
+            del self._executed_until_us[next(iter(self._executed_until_us))]
+
+    def may_have_executed(self, request_id: str) -> bool:
+        """Whether a request with this id may have run, and must not run again."""
+        return request_id in self._executed_until_us
+
+    def drop_expired(self, now_us: int) -> None:
+        """Drop the gaps that have ended, and the ids that may run again."""
+        _drop_until(self._gap_ends_us, now_us)
+        _drop_until(self._executed_until_us, now_us)
 
     def open_count(self) -> int:
         """The number of requests without a final answer."""
@@ -150,3 +163,12 @@
         """The number of open attempts at a node, including attempts that are not written yet."""
         attempts = (request.open_attempt for request in self._requests.values())
         return sum(attempt is not None and attempt.node_id == node_id for attempt in attempts)
+
+
+def _drop_until(ends_us: dict[str, int], now_us: int) -> None:
+    """Remove the ids whose time has come from a dict that has the oldest first."""
+    while ends_us:
+        oldest_id = next(iter(ends_us))
+        if ends_us[oldest_id] > now_us:
+            return
+        del ends_us[oldest_id]
--- a/harriertide/engine/runtime.py
+++ b/harriertide/engine/runtime.py
@@ -122,9 +122,9 @@
         """Submit a request to the core.
 
         :param streams_body: whether the body is forwarded as it arrives
-        :returns: False if the request id is in use
+        :returns: False if the request id is in use, or must not run again
         """
-        if arrival.request_id in self._jobs or self.core.has_request(arrival.request_id):
+        if arrival.request_id in self._jobs or not self.core.is_id_usable(arrival.request_id):
             return False
         self._jobs[arrival.request_id] = job
         self.post(ev.RequestArrived(arrival, streams_body))
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -95,7 +95,7 @@
         connection.request_id = arrival.request_id
         job = PlatformJob(self._client, connection, message, body)
         if not runtime.submit(arrival, job, streams_body=streams_body):
-            connection.refuse(400, "X-Call-Id is in use")
+            connection.refuse(400, "X-Call-Id is in use, or was used by a client that left")
 
     def on_client_disconnected(self, connection: PlatformConnection) -> None:
         """Stop the open request of a client that has disconnected."""
