Give streams half of the places at a node, and let them wait outside the queue

Callers: beside hundreds of slow or stopped long bodies nearly every other request was refused, for as long as that lasted. Cause: a stream holds its place at a node while its client sends, though the node does nothing before the last byte; streams took all 32 places of each node, and filled the queues, which pushed ordinary requests out as queue_full and too_late. Why it works: decisions are told which requests stream; these get half of what may be in flight at a node and are postponed where there is no room.

--- a/harriertide/decide/api/events.py
+++ b/harriertide/decide/api/events.py
@@ -49,6 +49,7 @@
     :ivar key: key of the object; requests of ordered classes with the same key run one after the other
     :ivar sharing_broker_count: number of brokers that receive requests of the volume
     :ivar is_retry: the client has sent the same request before
+    :ivar streams_body: its body is sent to a node while it arrives from the client, which may be slow
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     key: str = ""
     sharing_broker_count: int = 1
     is_retry: bool = False
+    streams_body: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/harriertide/decide/dispatch.py
+++ b/harriertide/decide/dispatch.py
@@ -22,6 +22,8 @@
 QUEUE_OBJECTIVE_RATIO = 0.3
 # Interval at which a queue that is not empty is checked again when no event concerns its shard.
 QUEUE_RECHECK_INTERVAL_US = 10_000
+# The same for a request that streams its body: it does not hold up the queue while no node has room.
+STREAM_RECHECK_INTERVAL_US = 50_000
 
 
 class Dispatcher:
@@ -67,7 +69,7 @@
         while same_band and not same_band[0].is_queued:
             same_band.popleft()
         same_band.append(request)
-        shard.queued_units += request.weighted_units
+        shard.queued_units += request.queued_units
         self._shed_excess(shard, self._queue_bound(shard, request))
 
     def _queue_bound(self, shard: ShardState, request: RequestState) -> float:
@@ -102,10 +104,19 @@
             elif node is not None and self._start_attempt(request, node):
                 heappop(shard.queue)
                 request.leave_queue()
+            elif request.is_queued and request.arrival.streams_body:
+                heappop(shard.queue)
+                self._postpone(request)
             elif request.is_queued:
                 self._schedule_recheck(shard)
                 return
 
+    def _postpone(self, request: RequestState) -> None:
+        """Queue a request again later, so that those behind it don't wait for it."""
+        request.leave_queue()
+        at_us = self._context.now_us + STREAM_RECHECK_INTERVAL_US
+        self._context.timers.schedule(at_us, RequestTimer(request))
+
     def _is_too_late(self, request: RequestState, node: NodeState | None) -> bool:
         """Whether an answer would miss the request's objective, by the latency of the node's latest answers.
 
@@ -199,8 +210,7 @@
         silence = silence_limits(request, context.settings, context.now_us, expected_us)
         request.open_attempts[request.attempt_count] = OpenAttempt(node, context.now_us)
         request.attempt_count += 1
-        node.open_attempt_count += 1
-        node.open_units += request.arrival.units
+        node.add_open_attempt(request)
         node.overtaking_answers[request] = 0
         self._health.on_attempt_sent(node)
         # With more brokers than requests that a node may hold in flight, the in-flight bound of each broker
--- a/harriertide/decide/placement.py
+++ b/harriertide/decide/placement.py
@@ -30,6 +30,9 @@
 # Requests of this broker in flight at a node at most, whatever its capacity: the size of a node's connection
 # table.
 MAX_IN_FLIGHT_COUNT = 32
+# Part of what may be in flight at a node for requests that stream their bodies: a slow client holds its place
+# as long as it likes, though the node does nothing before the last byte.
+STREAM_IN_FLIGHT_RATIO = 0.5
 MIN_TARGET_RATE = 0.1  # units a second; avoids a division by zero where no capacity is known
 # Nodes compared for a new object, at least: the better of two random choices is much better than one.
 MIN_PLACEMENT_SAMPLE_COUNT = 2
@@ -103,6 +106,8 @@
             if not self._health.accept_or_probe(node):
                 continue
             has_room = node.is_ejected or self._has_room(shard, node, request, bound_units)
+            if request.arrival.streams_body and not self._has_stream_room(node, request, bound_units):
+                continue
             if has_room and (best is None or node.open_attempt_count < best.open_attempt_count):
                 best = node
         return best
@@ -125,6 +130,14 @@
         is_within_bound = node.open_units + request.arrival.units <= bound_units
         return (is_below_minimum or is_within_bound) and node.open_attempt_count < MAX_IN_FLIGHT_COUNT
 
+    @staticmethod
+    def _has_stream_room(node: NodeState, request: RequestState, bound_units: float) -> bool:
+        if not node.open_stream_count:
+            return True
+        stream_units = node.open_stream_units + request.arrival.units
+        is_within_bound = stream_units <= STREAM_IN_FLIGHT_RATIO * bound_units
+        return is_within_bound and node.open_stream_count < STREAM_IN_FLIGHT_RATIO * MAX_IN_FLIGHT_COUNT
+
     def place_new_object(self, units: float) -> ShardState | None:
         """The shard with the shortest estimated queue, to which later reads of the object will also go.
 
--- a/harriertide/decide/scheduler.py
+++ b/harriertide/decide/scheduler.py
@@ -300,8 +300,7 @@
 
     @staticmethod
     def _release_attempt(request: RequestState, node: NodeState) -> None:
-        node.open_attempt_count -= 1
-        node.open_units -= request.arrival.units
+        node.remove_open_attempt(request)
         node.overtaking_answers.pop(request, None)
 
     def _record_answer(
--- a/harriertide/decide/state.py
+++ b/harriertide/decide/state.py
@@ -96,7 +96,12 @@
         """Remove the request from its shard's queue."""
         if self.is_queued and self.shard is not None:
             self.is_queued = False
-            self.shard.queued_units = max(0.0, self.shard.queued_units - self.weighted_units)
+            self.shard.queued_units = max(0.0, self.shard.queued_units - self.queued_units)
+
+    @property
+    def queued_units(self) -> float:
+        """Units by which the request lengthens a queue; one that streams its body does not wait there."""
+        return 0.0 if self.arrival.streams_body else self.weighted_units
 
 
 class GrantedUnits(NamedTuple):
@@ -110,6 +115,7 @@
 class NodeState:
     """One node of the endpoint list: its open attempts, its health, and its measured latency.
 
+    open_stream_*: of the open attempts, those whose body still arrives from a client, or has done so.
     latency_ratio: latency of the latest answers relative to the baseline of their class. overtaking_answers:
     for each request with an open attempt at the node, the number of answers to attempts that were sent later.
     granted, measured_*: kept as coordinator of the node's shard, for all brokers. answered_*: answers to this
@@ -123,6 +129,8 @@
     is_live: bool = True
     open_attempt_count: int = 0
     open_units: float = 0.0
+    open_stream_count: int = 0
+    open_stream_units: float = 0.0
     latency_ratio: float = 1.0
     consecutive_failures: int = 0
     is_ejected: bool = False
@@ -135,6 +143,22 @@
     measured_us: int = 0
     slow_start_credit: QuotaCredit = field(default_factory=QuotaCredit)
 
+    def add_open_attempt(self, request: RequestState) -> None:
+        """Count an attempt that is sent to the node."""
+        self.open_attempt_count += 1
+        self.open_units += request.arrival.units
+        if request.arrival.streams_body:
+            self.open_stream_count += 1
+            self.open_stream_units += request.arrival.units
+
+    def remove_open_attempt(self, request: RequestState) -> None:
+        """Count an attempt at the node no longer, as it has ended."""
+        self.open_attempt_count -= 1
+        self.open_units -= request.arrival.units
+        if request.arrival.streams_body:
+            self.open_stream_count -= 1
+            self.open_stream_units -= request.arrival.units
+
     def restart(self, started_us: int) -> None:
         """Discard what was observed before the node restarted."""
         self.started_us = started_us
--- a/harriertide/engine/workload_records.py
+++ b/harriertide/engine/workload_records.py
@@ -245,7 +245,7 @@
 
 def load_arrival(record: ArrivalRecord) -> api.Arrival:
     """Convert a stored arrival."""
-    return _convert_fields(record, api.Arrival)
+    return _convert_fields(record, api.Arrival, streams_body=False)  # not recorded
 
 
 def store_node_entry(entry: api.NodeEntry) -> NodeEntryRecord:
--- a/harriertide/platform/fields.py
+++ b/harriertide/platform/fields.py
@@ -129,6 +129,7 @@
         key=_parse_hex_id(key, "key") if key is not None else "",
         sharing_broker_count=_parse_integer(extent.get("hosts", "1"), "X-Extent: hosts", minimum=1),
         is_retry=fields.get(b"x-again") == b"1",
+        streams_body=streams_body,
     )
 
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -57,3 +57,15 @@
 def test_bodies_that_clients_do_not_finish_eject_no_node(form: HostileForm, tmp_path: Path) -> None:
     result = play(form, SCORED_MEMORY_MB, tmp_path)
     assert result.ejected_count == 0
+
+
+# Guards against slow streams that take the places at the nodes, which do nothing before their last byte.
+@pytest.mark.parametrize("form", ["slow body", "half of a long body"])
+def test_slow_streams_leave_others_half_of_what_they_get_without_them(
+    form: HostileForm, tmp_path: Path
+) -> None:
+    (tmp_path / "calm").mkdir()
+    calm = OverloadCase("silent", SCORED_MEMORY_MB, SOCKETS, client_count=1, duration_s=DURATION_S)
+    calm_served = asyncio.run(play_overload(calm, tmp_path / "calm")).honest_statuses[200]
+    result = play(form, SCORED_MEMORY_MB, tmp_path)
+    assert result.honest_statuses[200] >= calm_served / 2
