--- a/harriertide/cli/daemon.py
+++ b/harriertide/cli/daemon.py
@@ -17,6 +17,7 @@
 from harriertide.cli.early_reload import early_reloads
 from harriertide.cli.initial_settings import InitialSettings, find_initial_settings
 from harriertide.cli.listeners import Address, Listeners
+from harriertide.cli.memory_guard import MemoryGuard
 from harriertide.cli.reload import reload
 from harriertide.cli.shutdown import shut_down
 from harriertide.cli.startup import Readiness, start_up
@@ -28,9 +29,7 @@
 from harriertide.engine.counters import counter_fields
 from harriertide.engine.log import capture_library_logs, log
 from harriertide.engine.loop_monitor import LoopMonitor, monitored_loop
-from harriertide.engine.memory_monitor import MemoryMonitor, read_process_memory_bytes
 from harriertide.engine.runtime import Runtime
-from harriertide.http.buffer_budget import BufferBudget
 from harriertide.http.connection_table import ConnectionTable
 from harriertide.http.limits import Limits, read_limits
 from harriertide.http.node_client import NodeClient
@@ -105,10 +104,8 @@
         self.directory = EndpointDirectory(names.zones)
         self.clients = ConnectionTable(limits)
         self.client = NodeClient(self._find_node_address, names.connect_us, names.idle_us, limits)
-        self.bodies = BufferBudget(limits.max_buffered_request_bytes)
-        self.own_memory_bytes = 0  # measured once the process is composed
-        self.memory = MemoryMonitor(limits.memory_bytes, self.held_memory, self._on_memory_short)
-        self.front = Front(self.runtime, self.client, names, self.bodies)
+        self.memory = MemoryGuard(self, limits)
+        self.front = Front(self.runtime, self.client, names, self.memory.requests)
         self.probes = Probes(self.client, self.runtime.post)
         self.runtime.start_probe = self.probes.start
         self.apply_lifecycle()
@@ -165,7 +162,7 @@
     def limits_in_force(self) -> Limits:
         """The limits of the configuration, less what this process was measured to need for itself."""
         assert self.config is not None, "only a platform's limits change"
-        return self.config.limits.with_own_memory(self.own_memory_bytes)
+        return self.memory.adapt(self.config.limits)
 
     def apply_lifecycle(self) -> None:
         """Have all parts go by the lifecycle as it is now, in the same turn of the loop."""
@@ -180,32 +177,7 @@
             limits = self.in_place_upgrade.share(limits)
         self.client.pool.apply_limits(limits)
         self.clients.apply_limits(limits)
-        self.bodies.limit_bytes = limits.max_buffered_request_bytes
-        self.memory.apply_limit(limits.memory_bytes)
-
-    def held_memory(self) -> dict[str, int]:
-        """Return what is held for clients and nodes: counts, and bytes where the name says so."""
-        return {
-            "client_connections": len(self.clients),
-            "node_connections": len(self.client.pool),
-            "requests": self.core.open_request_count(),
-            "request_bytes": self.bodies.reserved_bytes,
-            "response_bytes": self.client.pool.buffered_bytes,
-            "unsent_bytes": self.clients.unsent_bytes(),
-        }
-
-    def _on_memory_short(self, is_short: bool) -> None:
-        """Free what only the garbage collector can, and take in no more than one large request at a time."""
-        if is_short:
-            gc.collect()
-        self.bodies.is_short = is_short
-
-    def _measure_own_memory(self) -> None:
-        """Give connections and buffers what is left beside this process, whose list of nodes may be long."""
-        if self.config is None:
-            return
-        self.own_memory_bytes = read_process_memory_bytes()
-        self.apply_limits()
+        self.memory.apply_limits(limits)
 
     def counters(self) -> dict[str, int]:
         """All counters, as `part.name`."""
@@ -290,7 +262,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, self._log_counters)
-        self._measure_own_memory()
+        self.memory.measure_own_memory()
+        if self.config is not None:
+            self.apply_limits()
         await self.start()
         loop.add_signal_handler(signal.SIGHUP, self.reload, environment)
         if early_reloads.are_awaited:  # only now: a start goes by the configuration that it began with
--- a/harriertide/lab/benchmarks/library_overhead.py
+++ b/harriertide/lab/benchmarks/library_overhead.py
@@ -47,8 +47,8 @@
 WAYS = ("direct", "library", "daemon")
 PERCENTILES = (50, 99, 99.9)
 FIGURES = ("p50", "p99", "p99.9", "cpu")
-MEMORY_MB = 512
-SOCKET_COUNT = 128
+SOCKET_COUNT = 512
+MEMORY_MB = 128
 WARM_UP_S = 0.5  # of each way, before anything is measured
 START_DELAY_S = 0.05  # before the first request
 MAX_LATENCY_US = 10_000_000
@@ -106,7 +106,7 @@
 ) -> dict[str, Any]:
     """Measure all ways in turn; figures by way, in microseconds: medians over the rounds."""
     clock = Clock(asyncio.get_running_loop())
-    limits = Limits.from_resources(MEMORY_MB, SOCKET_COUNT)
+    limits = Limits.from_resources(sockets=SOCKET_COUNT, memory_mb=MEMORY_MB)
     node_address, daemon_address = f"127.0.0.1:{node_port}", f"127.0.0.1:{daemon_port}"
     clients = {
         "direct": NodeClient({NODE_ID: node_address}.get, CONNECT_TIMEOUT_US, IDLE_TIMEOUT_US, limits),
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -74,7 +74,7 @@
 
 
 # Parts of counters whose names are put together of a fixed beginning and what happened.
-BEGINNINGS = ("given_up_", "outcome_", "list_", "answers_", "probe_", "shed_")
+BEGINNINGS = ("given_up_", "outcome_", "list_", "answers_", "probe_", "shed_", "failed_", "refused_")
 
 
 def test_each_counter_of_the_on_call_page_is_counted_somewhere() -> None:
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -114,7 +114,7 @@
 # Guards against a body that is read, and takes memory, where there is none for it.
 def test_a_body_without_memory_is_refused_at_its_head_and_the_next_request_is_served() -> None:
     async def scenario(broker: SocketBroker) -> None:
-        broker.daemon.bodies.limit_bytes = 10_000
+        broker.daemon.memory.requests.limit_bytes = 10_000
         client = broker.connect()
         client.sendall(request_head(broker, "Content-Length: 60000\r\nExpect: 100-continue\r\n", "PUT"))
         answer = await receive_all(client)
@@ -137,12 +137,12 @@
         at_node = await broker.next_request()
         (connection,) = broker.daemon.clients.in_state("busy")
         parser = connection._parser
-        assert broker.daemon.bodies.reserved_bytes > 90 * FIELD_BYTES - HEAD_ALLOTMENT_BYTES
+        assert broker.daemon.memory.requests.reserved_bytes > 90 * FIELD_BYTES - HEAD_ALLOTMENT_BYTES
         send_response(at_node)
         await receive_all(client, b"ok")
         assert connection.state == "idle" and connection._parser is not parser
         assert connection.fields == {}  # type: ignore[attr-defined]
-        assert broker.daemon.bodies.reserved_bytes == 0
+        assert broker.daemon.memory.requests.reserved_bytes == 0
         client.sendall(request_head(broker, "Connection: close\r\n", "GET"))
         send_response(await broker.next_request())
         assert (await receive_all(client)).endswith(b"ok")
--- a/tests/test_request_streaming.py
+++ b/tests/test_request_streaming.py
@@ -69,7 +69,7 @@
         assert body == LONG_BODY and headers["Content-Length"] == str(len(LONG_BODY))
         send_response(connection)
         assert (await receive_all(client)).endswith(b"ok")
-        assert broker.daemon.bodies.reserved_bytes == 0
+        assert broker.daemon.memory.requests.reserved_bytes == 0
 
     run_with_broker(scenario)
 
@@ -201,7 +201,7 @@
             while not broker.node.incomplete_request_count or len(broker.daemon.client.pool):
                 await asyncio.sleep(0.005)
         await broker.wait_until_settled()
-        assert broker.node.requests.empty() and broker.daemon.bodies.reserved_bytes == 0
+        assert broker.node.requests.empty() and broker.daemon.memory.requests.reserved_bytes == 0
 
     run_with_broker(scenario)
 
--- a/tests/test_transfer_codings.py
+++ b/tests/test_transfer_codings.py
@@ -138,7 +138,7 @@
         client.sendall(NEXT_REQUEST)  # not answered
         assert (await receive_last_response(client)).startswith(b"HTTP/1.1 %d " % form.status)
         assert broker.node.connection_count == 0 and broker.daemon.core.open_request_count() == 0
-        assert broker.daemon.bodies.reserved_bytes == 0
+        assert broker.daemon.memory.requests.reserved_bytes == 0
 
     run_with_broker(scenario)
 
@@ -164,7 +164,7 @@
         client.setblocking(False)
         await asyncio.get_running_loop().sock_sendall(client, head + body)
         assert (await receive_last_response(client)).startswith(b"HTTP/1.1 501 ")
-        assert broker.node.connection_count == 0 and broker.daemon.bodies.reserved_bytes == 0
+        assert broker.node.connection_count == 0 and broker.daemon.memory.requests.reserved_bytes == 0
 
     run_with_broker(scenario)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -767,8 +767,8 @@
         assert old.client.pool.max_connections >= len(old.client.pool)
         assert old.client.pool.max_connections + new.client.pool.max_connections <= nodes
         assert (
-            old.bodies.limit_bytes
-            == new.bodies.limit_bytes
+            old.memory.requests.limit_bytes
+            == new.memory.requests.limit_bytes
             == new.config.limits.half().max_buffered_request_bytes
         )
         await old.stop()
