Log why requests are refused and connections are closed, once a second for each reason

Change: log lines 'request refused' (request, error, reason) and 'connection closed' (state, age, reason), at most one a second for each kind, with the number of those that were left out.

--- a/harriertide/http/connection_table.py
+++ b/harriertide/http/connection_table.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 
+from harriertide.engine.repeated_log import RepeatedLog
 from harriertide.http.accept_control import AcceptControl
 from harriertide.http.client_connection import ClientConnection, ConnectionState
 from harriertide.http.limits import Limits
@@ -53,6 +54,7 @@
 
     def __init__(self, limits: Limits) -> None:
         self.counts: Counter[str] = Counter()
+        self._log = RepeatedLog()
         self._loop = asyncio.get_running_loop()
         self._by_state: dict[ConnectionState, dict[ClientConnection, None]] = {
             "silent": {}, "reading": {}, "busy": {}, "idle": {}, "lingering": {},
@@ -146,6 +148,13 @@
             if not self._is_overdue(connection, now, timeout_s):
                 continue
             self.counts[f"shed_{state}"] += 1
+            self._log(
+                f"{state} {is_urgent}",
+                "connection closed",
+                state=state,
+                age_s=round(now - connection.since, 3),
+                reason="room is needed" if is_urgent else "its time is over",
+            )
             closed_count += 1
             if state in ("silent", "idle") and not is_urgent:
                 connection.linger()  # a request may be in transit, and must not be answered with a reset
@@ -196,6 +205,7 @@
                 break
             total_bytes -= connection.unsent_bytes()
             self.counts["shed_unread"] += 1
+            self._log("unread", "connection closed", state="unread", unsent_bytes=connection.unsent_bytes())
             self._by_state[connection.state].pop(connection)
             connection.drop()
 
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -18,6 +18,7 @@
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from harriertide.engine.repeated_log import RepeatedLog
 from harriertide.http.body_stream import ResponseRemainder
 from harriertide.http.buffer_budget import BufferBudget
 from harriertide.http.client_connection import ClientConnection, ConnectionTracker
@@ -57,6 +58,7 @@
     """Handles the requests that platform connections read."""
 
     counts: Counter[str]
+    log: RepeatedLog
     bodies: BufferBudget
     closes_connections: bool
 
@@ -327,7 +329,10 @@
 
     def _refuse_for(self, error: RefusedRequestError) -> None:
         """Reject a request for the reason that an error states, and count the reason."""
-        self._front.counts[f"refused_{type(error).__name__}"] += 1
+        kind = type(error).__name__
+        self._front.counts[f"refused_{kind}"] += 1
+        call_id = self.fields.get(b"x-call-id", b"").decode("utf-8", "replace")
+        self._front.log(kind, "request refused", request=call_id, error=kind, reason=str(error))
         self.refuse(error.status, str(error))
 
     def _discard_request(self) -> None:
--- a/harriertide/platform/front.py
+++ b/harriertide/platform/front.py
@@ -8,6 +8,7 @@
 from aiohttp.http_parser import RawRequestMessage
 
 from harriertide.decide.settings import Names
+from harriertide.engine.repeated_log import RepeatedLog
 from harriertide.engine.runtime import Runtime
 from harriertide.http.buffer_budget import BufferBudget
 from harriertide.http.node_client import NodeClient
@@ -31,6 +32,7 @@
 
     def __init__(self, runtime: Runtime, client: NodeClient, names: Names, bodies: BufferBudget) -> None:
         self.counts: Counter[str] = Counter()
+        self.log = RepeatedLog()
         self.names = names
         self.bodies = bodies
         # False while the broker starts, stops, is drained or is in maintenance: health checks then get 503
