--- a/harriertide/http/client_connection.py
+++ b/harriertide/http/client_connection.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import socket
+import struct
 from contextlib import suppress
 from typing import Any, Literal, Protocol
 
@@ -32,6 +33,8 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER enabled with 0 s: close() sends a TCP reset
+
 ConnectionState = Literal["silent", "reading", "busy", "idle", "lingering"]  # parts of counter names
 
 
@@ -152,6 +155,15 @@
         if self.discarded > MAX_LINGER_BYTES and self.transport is not None:
             self.transport.pause_reading()
 
+    def reset(self) -> None:
+        """Close the connection immediately with a TCP reset, which no client takes for the end of a body."""
+        transport = self.transport
+        if transport is not None and (sock := transport.get_extra_info("socket")) is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
     def end_unfinished(self) -> None:
         """Close the connection immediately: no complete request was read from it in time."""
         self.drop()
--- a/harriertide/platform/connection.py
+++ b/harriertide/platform/connection.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections import Counter
 from typing import Any, Protocol
 
@@ -51,7 +49,6 @@
 MIN_UPLOAD_BYTES_PER_S = 32_000  # half the upload rate of the slowest clients
 # Maximum per read while no body is expected: reads of all connections come before any of them is counted.
 HEAD_READ_BYTES = 4 * 1024
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER enabled with 0 s: close() sends a TCP reset
 
 
 class RequestFront(Protocol):
@@ -375,22 +372,10 @@
             return
         self._front.counts["answers_broken"] += 1
         if framing is Framing.UNTIL_CLOSE:
-            self._reset(transport)
+            self.reset()
         else:
             self.drop()
 
-    def _reset(self, transport: asyncio.Transport) -> None:
-        """End the connection with a TCP reset.
-
-        If the end of the connection marks the end of the body, a client would take a truncated response for
-        a complete one after an orderly close.
-        """
-        client_socket = transport.get_extra_info("socket")
-        if client_socket is not None:
-            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.force_close()
-        transport.abort()
-
 
 class PlatformServer(TrackedServer):
     """Creates a connection object for each client that connects to the platform listener."""
