Take memory for short until it has fallen well below the threshold

Cause: read in the change: each time that the measured memory passes 95 % of the limit garbage is collected; a size that varies around it would have that done up to twenty times a second. Change: memory counts as short again only after it was below 92 %. Measured: the new test fails without the change (changes True, False, True, ...).

--- a/harriertide/engine/memory_monitor.py
+++ b/harriertide/engine/memory_monitor.py
@@ -14,6 +14,7 @@
 SAMPLE_INTERVAL_S = 0.05
 LOGGED_RATIOS = (0.8, 0.9, 0.95)  # of the limit: a line each time one of them is passed
 SHORT_RATIO = 0.95  # of the limit: above it, the process takes in only what it must
+RECOVERED_RATIO = 0.92  # of the limit: below it, that is over
 KIB = 1024
 
 
@@ -79,7 +80,8 @@
             held = {f"held_{owner}": count for owner, count in self._read_held().items()}
             log("memory is short", kib=self.counts["kib"], limit_kib=self.counts["limit_kib"], **held)
         self._logged_ratio = passed_ratio
-        is_short = memory_bytes > SHORT_RATIO * self.limit_bytes
+        ratio = RECOVERED_RATIO if self._is_short else SHORT_RATIO
+        is_short = memory_bytes > ratio * self.limit_bytes
         if is_short != self._is_short:
             self._is_short = is_short
             self.counts["short"] += is_short
--- a/tests/test_memory_monitor.py
+++ b/tests/test_memory_monitor.py
@@ -37,6 +37,19 @@
     assert monitor.counts["peak_kib"] == int(0.96 * LIMIT_BYTES) // 1024
 
 
+# Guards against a garbage collection every few samples while the memory varies around the threshold.
+def test_memory_stays_short_until_it_has_recovered() -> None:
+    changes: list[bool] = []
+
+    async def main() -> None:
+        monitor = MemoryMonitor(LIMIT_BYTES, dict, changes.append)
+        for ratio in (0.96, 0.94, 0.96, 0.93, 0.96, 0.91, 0.94):
+            monitor.record(int(ratio * LIMIT_BYTES))
+
+    asyncio.run(main())
+    assert changes == [True, False]
+
+
 def test_repeated_events_are_counted_in_place_of_a_line_each(capsys: pytest.CaptureFixture[str]) -> None:
     log = RepeatedLog()
     for _ in range(5):
